--- /dev/null
+++ b/registrar/apply.go
@@ -0,0 +1,266 @@
+package registrar
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/parser"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// apply changes the state by one command. The caller holds the lock.
+func (r *Registrar) apply(c Command) Result {
+	switch c := c.(type) {
+	case PutConfig:
+		return r.putConfig(c)
+	case GrantKey:
+		return r.grantKey(c)
+	case WithdrawKey:
+		return r.withdrawKey(c)
+	case TakeZone:
+		return r.takeZone(c)
+	case AcquireAllotment:
+		return r.acquire(c)
+	case ReleaseAllotment:
+		return r.release(c)
+	case AcceptRequest:
+		return r.accept(c)
+	case IntendStart:
+		return r.intend(c)
+	case RefuseStart:
+		return r.refuse(c)
+	case EndRequest:
+		return r.end(c)
+	case CancelRequest:
+		return r.cancel(c)
+	default:
+		panic("registrar: command without a case")
+	}
+}
+
+func (r *Registrar) putConfig(c PutConfig) Result {
+	r.tick(c.At)
+	sum := sha256.Sum256(c.Text)
+	if first, ok := r.answerTo(c.ID, sum[:]); ok {
+		return first
+	}
+	result := r.compareAndSet(c)
+	if c.ID != "" {
+		r.st.Answered = append(r.st.Answered, answered{ID: c.ID, TextSum: sum[:], Result: results.Marshal(result)})
+		if excess := len(r.st.Answered) - maxAnswered; excess > 0 {
+			r.st.Answered = r.st.Answered[excess:]
+		}
+	}
+	return result
+}
+
+// answerTo returns the first answer to a resent PutConfig.
+func (r *Registrar) answerTo(id string, sum []byte) (Result, bool) {
+	for _, a := range r.st.Answered {
+		if a.ID != id || id == "" {
+			continue
+		}
+		if !bytes.Equal(a.TextSum, sum) {
+			return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "this id was used before with another text"}, true
+		}
+		result, err := DecodeResult(a.Result)
+		if err != nil {
+			panic(err)
+		}
+		return result, true
+	}
+	return nil, false
+}
+
+func (r *Registrar) compareAndSet(c PutConfig) Result {
+	if c.Base != r.st.Version {
+		return ConfigConflict{Version: r.st.Version, Operator: r.st.Operator}
+	}
+	config, findings := parser.Parse("text", c.Text)
+	if len(findings) > 0 {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: findings[0].String()}
+	}
+	r.st.Version++
+	r.st.Text = c.Text
+	r.st.Operator = c.Operator
+	r.st.History = append(r.st.History, HistoryEntry{Version: r.st.Version, Operator: c.Operator, At: c.At})
+	r.config = config
+	r.setLimits(config)
+	return ConfigAccepted{Version: r.st.Version}
+}
+
+// setLimits hands the limits of a new configuration to the fleet's limiter.
+func (r *Registrar) setLimits(config parser.Config) {
+	limits := map[unit.Team]unit.Resources{}
+	for _, t := range config.Teams {
+		limits[t.Name] = t.Limit
+	}
+	var live, lost []unit.AvailabilityZone
+	for _, z := range config.AvailabilityZones {
+		if z.Lost {
+			lost = append(lost, z.Name)
+		} else {
+			live = append(live, z.Name)
+		}
+	}
+	r.st.Fleet.Configure(limits, live, lost)
+}
+
+func (r *Registrar) grantKey(c GrantKey) Result {
+	r.tick(c.At)
+	old, known := r.st.Keys[c.Key]
+	if known && old.Withdrawn {
+		return Rejected{Reason: dispatcher.ReasonKeyRefused, Detail: "a withdrawn key can't be granted again"}
+	}
+	if known && !(bytes.Equal(old.Hash, c.Hash) && old.Account == c.Account && old.Team == c.Team) {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "the key id is taken"}
+	}
+	r.st.Keys[c.Key] = Key{ID: c.Key, Hash: c.Hash, Account: c.Account, Team: c.Team, ChangedAt: c.At}
+	return KeyGranted{}
+}
+
+func (r *Registrar) withdrawKey(c WithdrawKey) Result {
+	r.tick(c.At)
+	k := r.st.Keys[c.Key]
+	k.ID = c.Key
+	k.Withdrawn = true
+	k.ChangedAt = c.At
+	r.st.Keys[c.Key] = k
+	return KeyWithdrawn{}
+}
+
+func (r *Registrar) takeZone(c TakeZone) Result {
+	r.tick(c.At)
+	z := r.st.Zones[c.AvailabilityZone]
+	if z.Epoch != c.Prior {
+		return Fenced{Epoch: z.Epoch, Holder: z.Holder}
+	}
+	z = Zone{Epoch: z.Epoch + 1, Holder: c.Instance}
+	r.st.Zones[c.AvailabilityZone] = z
+	return ZoneTaken{Epoch: z.Epoch}
+}
+
+// fence returns a Fenced result for a sender that isn't the zone's scheduler
+// any more.
+func (r *Registrar) fence(az unit.AvailabilityZone, e unit.Epoch) (Result, bool) {
+	z := r.st.Zones[az]
+	return Fenced{Epoch: z.Epoch, Holder: z.Holder}, z.Epoch != e
+}
+
+func (r *Registrar) acquire(c AcquireAllotment) Result {
+	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
+		return fenced
+	}
+	return Allotted{Amount: r.st.Fleet.Acquire(c.AvailabilityZone, c.Team, c.Want)}
+}
+
+func (r *Registrar) release(c ReleaseAllotment) Result {
+	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
+		return fenced
+	}
+	return Allotted{Amount: r.st.Fleet.Release(c.AvailabilityZone, c.Team, c.Amount)}
+}
+
+func (r *Registrar) accept(c AcceptRequest) Result {
+	r.tick(c.At)
+	rec, known := r.st.Records[c.Request.ID]
+	if !known {
+		rec = Record{Request: c.Request, AvailabilityZone: c.AvailabilityZone, At: c.At}
+	}
+	rec.Accepted = true
+	r.st.Records[c.Request.ID] = rec
+	return Registered{Record: rec}
+}
+
+func (r *Registrar) intend(c IntendStart) Result {
+	r.tick(c.At)
+	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
+		return fenced
+	}
+	rec, known := r.st.Records[c.Request.ID]
+	if !known {
+		rec = Record{Request: c.Request, AvailabilityZone: c.AvailabilityZone, At: c.At}
+	}
+	if !mayIntend(rec, c) {
+		return Registered{Record: rec}
+	}
+	rec.Intent = Intent{Task: c.Task, Upstream: c.Upstream, Epoch: c.Epoch}
+	r.st.Records[c.Request.ID] = rec
+	return Registered{Record: rec, Granted: true}
+}
+
+// mayIntend reports whether a start of the request may be recorded: it is
+// open, at home in the sender's zone, and either has no intent, or the same
+// one (a resent command), or may be run again.
+func mayIntend(rec Record, c IntendStart) bool {
+	if !rec.Open() || rec.Cancelled || rec.AvailabilityZone != c.AvailabilityZone {
+		return false
+	}
+	return rec.Intent.Task == "" || rec.Intent.Task == c.Task || rec.Request.Repeatable
+}
+
+func (r *Registrar) refuse(c RefuseStart) Result {
+	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
+		return fenced
+	}
+	rec := r.st.Records[c.Request]
+	if rec.Intent.Task == c.Task && rec.Open() {
+		rec.Intent = Intent{}
+		r.st.Records[c.Request] = rec
+	}
+	return Registered{Record: rec}
+}
+
+func (r *Registrar) end(c EndRequest) Result {
+	r.tick(c.At)
+	rec, known := r.st.Records[c.Request]
+	if !known {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "no such request is registered"}
+	}
+	if rec.Open() {
+		r.st.Ended = append(r.st.Ended, c.Request)
+		rec.Outcome, rec.At = c.Outcome, c.At
+	} else if isUnknown(rec.Outcome) && isDone(c.Outcome) {
+		rec.Outcome = c.Outcome
+	}
+	r.st.Records[c.Request] = rec
+	return Registered{Record: rec}
+}
+
+func isUnknown(outcome []byte) bool {
+	o, err := dispatcher.UnmarshalOutcome(outcome)
+	_, is := o.(dispatcher.Unknown)
+	return err == nil && is
+}
+
+func isDone(outcome []byte) bool {
+	o, err := dispatcher.UnmarshalOutcome(outcome)
+	_, is := o.(dispatcher.Done)
+	return err == nil && is
+}
+
+func (r *Registrar) cancel(c CancelRequest) Result {
+	r.tick(c.At)
+	rec, known := r.st.Records[c.Request]
+	if !known {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "no such request is registered"}
+	}
+	rec.Cancelled = true
+	r.st.Records[c.Request] = rec
+	return Registered{Record: rec}
+}
+
+// tick moves the state's time forward and forgets what ended long ago.
+func (r *Registrar) tick(at clock.Millis) {
+	r.st.Time = max(r.st.Time, at)
+	for len(r.st.Ended) > 0 {
+		id := r.st.Ended[0]
+		if r.st.Records[id].At+KeepEnded > r.st.Time {
+			return
+		}
+		delete(r.st.Records, id)
+		r.st.Ended = r.st.Ended[1:]
+	}
+}
--- /dev/null
+++ b/registrar/query.go
@@ -0,0 +1,103 @@
+package registrar
+
+import (
+	"sort"
+
+	"github.com/chervilvane/chervilvane/parser"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Index returns the index of the last applied command.
+func (r *Registrar) Index() replicator.Index {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Index
+}
+
+// Config returns the configuration in force and its version; version 0 means
+// that none was accepted yet.
+func (r *Registrar) Config() (parser.Config, unit.Version) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.config, r.st.Version
+}
+
+// Text returns the operator's text in force and its version.
+func (r *Registrar) Text() ([]byte, unit.Version) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Text, r.st.Version
+}
+
+// History returns the accepted configurations, oldest first.
+func (r *Registrar) History() []HistoryEntry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return append([]HistoryEntry(nil), r.st.History...)
+}
+
+// Key returns a key by its id.
+func (r *Registrar) Key(id KeyID) (Key, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	k, ok := r.st.Keys[id]
+	return k, ok
+}
+
+// Keys returns all keys, in the order of their ids.
+func (r *Registrar) Keys() []Key {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	keys := make([]Key, 0, len(r.st.Keys))
+	for _, k := range r.st.Keys {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].ID < keys[j].ID })
+	return keys
+}
+
+// Zone returns who schedules an availability zone.
+func (r *Registrar) Zone(az unit.AvailabilityZone) Zone {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Zones[az]
+}
+
+// Allotments returns each team's allotment in a zone.
+func (r *Registrar) Allotments(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Allotments(az)
+}
+
+// Excess returns how much of each team's allotment in a zone must be given
+// back since the team's limit was lowered.
+func (r *Registrar) Excess(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Excess(az)
+}
+
+// Record returns what the log holds of a request.
+func (r *Registrar) Record(id unit.Request) (Record, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	rec, ok := r.st.Records[id]
+	return rec, ok
+}
+
+// OpenRecords returns the open records that are at home in a zone, in the
+// order of their ids. A new scheduler of the zone starts from them.
+func (r *Registrar) OpenRecords(az unit.AvailabilityZone) []Record {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var open []Record
+	for _, rec := range r.st.Records {
+		if rec.Open() && rec.AvailabilityZone == az {
+			open = append(open, rec)
+		}
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].Request.ID < open[j].Request.ID })
+	return open
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,168 @@
+// Package registrar is the state that the replicated log holds: versions of
+// the configuration, keys, the epoch of each zone's scheduler, allotments of
+// team limits, and the records of requests that must survive.
+//
+// A Registrar is a replicator.Machine: commands are applied in the order of
+// the log on every instance, so all copies are equal at equal index. Readers
+// use the query methods, which are safe for concurrent use; what they return
+// must not be modified.
+//
+// Apply reads no clock. Where a command needs the time it carries the
+// proposer's, and the state uses the latest time that it has seen.
+package registrar
+
+import (
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/limiter"
+	"github.com/chervilvane/chervilvane/parser"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// KeepEnded is how long the record of an ended request is kept for resends.
+const KeepEnded = clock.Hour
+
+// maxAnswered bounds the remembered answers to PutConfig.
+const maxAnswered = 1024
+
+// state is all that a snapshot holds.
+type state struct {
+	Index   replicator.Index
+	Time    clock.Millis
+	Version unit.Version
+	Text    []byte
+	// Operator is who put the version in force.
+	Operator string
+	History  []HistoryEntry
+	Answered []answered
+	Keys     map[KeyID]Key
+	Zones    map[unit.AvailabilityZone]Zone
+	Fleet    limiter.Fleet
+	Records  map[unit.Request]Record
+	// Ended lists ended requests in the order of their ends.
+	Ended []unit.Request
+}
+
+// HistoryEntry is one accepted configuration.
+type HistoryEntry struct {
+	Version  unit.Version
+	Operator string
+	At       clock.Millis
+}
+
+// answered is the answer that a PutConfig got, for its resends.
+type answered struct {
+	ID      string
+	TextSum []byte
+	Result  []byte
+}
+
+// Registrar holds the registered state.
+type Registrar struct {
+	mu     sync.RWMutex
+	st     state
+	config parser.Config
+	subs   []func(replicator.Index)
+}
+
+var _ replicator.Machine = (*Registrar)(nil)
+
+// New returns the empty state.
+func New() *Registrar {
+	return &Registrar{st: emptyState()}
+}
+
+func emptyState() state {
+	return state{
+		Keys:    map[KeyID]Key{},
+		Zones:   map[unit.AvailabilityZone]Zone{},
+		Records: map[unit.Request]Record{},
+	}
+}
+
+// Subscribe calls f after each applied command or restored snapshot, on the
+// applying goroutine; f must not block. It is called before the log starts.
+func (r *Registrar) Subscribe(f func(replicator.Index)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.subs = append(r.subs, f)
+}
+
+// Apply implements replicator.Machine. A command that can't be decoded was
+// written by a newer version of the program; applying on without it would let
+// the copies differ, so it panics.
+func (r *Registrar) Apply(index replicator.Index, command []byte) []byte {
+	v, err := commands.Unmarshal(command)
+	if err != nil {
+		panic(errors.Wrapf(err, "registrar: command at index %d", index))
+	}
+	r.mu.Lock()
+	r.st.Index = index
+	result := r.apply(v.(Command))
+	subs := r.subs
+	r.mu.Unlock()
+	for _, f := range subs {
+		f(index)
+	}
+	return results.Marshal(result)
+}
+
+// Snapshot implements replicator.Machine.
+func (r *Registrar) Snapshot() []byte {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return encoder.Marshal(r.st)
+}
+
+// Restore implements replicator.Machine.
+func (r *Registrar) Restore(snapshot []byte) error {
+	st := emptyState()
+	if err := encoder.Unmarshal(snapshot, &st); err != nil {
+		return err
+	}
+	config, err := parseAccepted(st.Text)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.st, r.config = st, config
+	subs := r.subs
+	r.mu.Unlock()
+	for _, f := range subs {
+		f(st.Index)
+	}
+	return nil
+}
+
+// parseAccepted parses a text that was checked before it was accepted.
+func parseAccepted(text []byte) (parser.Config, error) {
+	if len(text) == 0 {
+		return parser.Config{}, nil
+	}
+	config, findings := parser.Parse("accepted", text)
+	if len(findings) > 0 {
+		return parser.Config{}, errors.Newf("the accepted configuration has findings: %v", findings[0])
+	}
+	return config, nil
+}
+
+// EncodeCommand encodes a command for the log.
+func EncodeCommand(c Command) []byte { return commands.Marshal(c) }
+
+// DecodeResult decodes the result of a command.
+func DecodeResult(data []byte) (Result, error) {
+	v, err := results.Unmarshal(data)
+	if err != nil {
+		return nil, err
+	}
+	result, ok := v.(Result)
+	if !ok {
+		return nil, errors.Newf("decoded %T, want a result", v)
+	}
+	return result, nil
+}
