--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -1,6 +1,10 @@
 package limiter
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -10,31 +14,201 @@
 type Fleet struct {
 	Limits map[unit.Team]unit.Resources
 	Held   map[unit.Team]map[unit.AvailabilityZone]unit.Resources
+	// Unmet is what a zone asked for in vain; see Wanted.
+	Unmet map[unit.Team]map[unit.AvailabilityZone]unit.Resources
+	// Live lists the zones that may hold allotments, sorted.
+	Live []unit.AvailabilityZone
 }
 
 // Configure sets the limits and the zones. A raised limit is allotted to the
-// live zones at once; a lowered one shows as Excess. Allotments of lost zones
-// are taken back.
+// live zones at once, so that a zone that is cut off from the log later has
+// something to spend. A lowered one shows as Excess. Allotments of lost zones
+// are taken back. A zone in neither list keeps what it holds as excess.
 func (f *Fleet) Configure(limits map[unit.Team]unit.Resources, live, lost []unit.AvailabilityZone) {
-	_, _, _ = limits, live, lost
+	f.makeMaps()
+	for _, az := range lost {
+		f.takeBack(az)
+	}
+	before := f.Live
+	f.Live = slices.Clone(live)
+	slices.Sort(f.Live)
+	f.Live = slices.Compact(f.Live)
+	old := f.Limits
+	f.Limits = maps.Clone(limits)
+	if f.Limits == nil {
+		f.Limits = map[unit.Team]unit.Resources{}
+	}
+	for _, team := range slices.Sorted(maps.Keys(f.Limits)) {
+		f.join(team, before)
+		f.raise(team, old[team])
+	}
+}
+
+func (f *Fleet) makeMaps() {
+	if f.Held == nil {
+		f.Held = map[unit.Team]map[unit.AvailabilityZone]unit.Resources{}
+	}
+	if f.Unmet == nil {
+		f.Unmet = map[unit.Team]map[unit.AvailabilityZone]unit.Resources{}
+	}
+}
+
+// takeBack ends the allotments of a lost zone.
+func (f *Fleet) takeBack(az unit.AvailabilityZone) {
+	for team := range f.Held {
+		f.set(f.Held, team, az, unit.Resources{})
+	}
+	for team := range f.Unmet {
+		f.set(f.Unmet, team, az, unit.Resources{})
+	}
+}
+
+// set stores an amount and forgets empty entries, so that equal states have
+// equal snapshots.
+func (f *Fleet) set(m map[unit.Team]map[unit.AvailabilityZone]unit.Resources, team unit.Team, az unit.AvailabilityZone, amount unit.Resources) {
+	if !amount.IsZero() {
+		if m[team] == nil {
+			m[team] = map[unit.AvailabilityZone]unit.Resources{}
+		}
+		m[team][az] = amount
+		return
+	}
+	delete(m[team], az)
+	if len(m[team]) == 0 {
+		delete(m, team)
+	}
+}
+
+// join gives zones that are new among the live ones their even part of a
+// limit, as far as there is unallotted room.
+func (f *Fleet) join(team unit.Team, before []unit.AvailabilityZone) {
+	even := evenPart(f.Limits[team], len(f.Live))
+	for _, az := range f.Live {
+		if slices.Contains(before, az) || len(before) == 0 {
+			continue
+		}
+		f.grant(team, az, even)
+	}
+}
+
+// raise splits the raised part of a limit evenly over the live zones. What
+// zones have released earlier stays unallotted.
+func (f *Fleet) raise(team unit.Team, old unit.Resources) {
+	limit := f.Limits[team].Vector()
+	was := old.Vector()
+	room := f.room(team).Vector()
+	for i, az := range f.Live {
+		var part [unit.Dimensions]int64
+		for d := range part {
+			part[d] = raisedPart(limit[d], was[d], room[d], i, len(f.Live))
+		}
+		f.grant(team, az, unit.FromVector(part))
+	}
+}
+
+// raisedPart returns the i-th of n parts of a raised dimension.
+func raisedPart(limit, was, room int64, i, n int) int64 {
+	if limit >= unit.Unlimited {
+		return unit.Unlimited
+	}
+	raised := min(limit-was, room)
+	if raised <= 0 {
+		return 0
+	}
+	part := raised / int64(n)
+	if int64(i) < raised%int64(n) {
+		part++
+	}
+	return part
+}
+
+// grant raises a zone's allotment by at most want and at most the room.
+func (f *Fleet) grant(team unit.Team, az unit.AvailabilityZone, want unit.Resources) {
+	limit := f.Limits[team].Vector()
+	room := f.room(team).Vector()
+	before := f.Held[team][az]
+	held := before.Vector()
+	for d, w := range want.Vector() {
+		if limit[d] >= unit.Unlimited {
+			held[d] = unit.Unlimited
+			continue
+		}
+		held[d] += max(0, min(w, room[d]))
+	}
+	f.set(f.Held, team, az, unit.FromVector(held))
+	f.check(team, before, unit.FromVector(held))
+}
+
+// room is the part of a limit that no zone holds; it is never negative, and
+// unit.Unlimited in dimensions without a bound.
+func (f *Fleet) room(team unit.Team) unit.Resources {
+	limit, known := f.Limits[team]
+	if !known {
+		return unit.Resources{}
+	}
+	room := limit.Vector()
+	for _, held := range f.Held[team] {
+		for d, h := range held.Vector() {
+			if room[d] < unit.Unlimited {
+				room[d] = max(0, room[d]-h)
+			}
+		}
+	}
+	return unit.FromVector(room)
 }
 
 // Acquire raises a zone's allotment by up to want, as far as the limit has
-// unallotted room, and returns the allotment.
+// unallotted room, and returns the allotment. What it lacks is remembered for
+// Wanted until the zone's next Acquire of the team.
 func (f *Fleet) Acquire(az unit.AvailabilityZone, team unit.Team, want unit.Resources) unit.Resources {
-	_ = want
+	f.makeMaps()
+	if !slices.Contains(f.Live, az) {
+		return f.Held[team][az]
+	}
+	if _, known := f.Limits[team]; !known {
+		return f.Held[team][az]
+	}
+	want = want.Max(unit.Resources{})
+	room := f.room(team)
+	f.grant(team, az, want)
+	f.set(f.Unmet, team, az, want.Sub(room).Max(unit.Resources{}))
 	return f.Held[team][az]
 }
 
 // Release lowers a zone's allotment and returns it.
 func (f *Fleet) Release(az unit.AvailabilityZone, team unit.Team, amount unit.Resources) unit.Resources {
-	_ = amount
+	f.makeMaps()
+	held := f.Held[team][az]
+	amount = amount.Max(unit.Resources{}).Min(held)
+	f.set(f.Held, team, az, held.Sub(amount))
 	return f.Held[team][az]
 }
 
+// check panics if a raised allotment takes the team's sum past its limit: the
+// one rule that every other promise about limits rests on.
+func (f *Fleet) check(team unit.Team, before, after unit.Resources) {
+	limit := f.Limits[team].Vector()
+	was := before.Vector()
+	for d, now := range after.Vector() {
+		if now <= was[d] || limit[d] >= unit.Unlimited {
+			continue
+		}
+		left := limit[d]
+		for _, held := range f.Held[team] {
+			left -= held.Vector()[d]
+			if left < 0 {
+				panic(fmt.Sprintf("limiter: the allotments of team %s pass its limit in dimension %d", team, d))
+			}
+		}
+	}
+}
+
 // Allotments returns each team's allotment in a zone.
 func (f *Fleet) Allotments(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
 	out := map[unit.Team]unit.Resources{}
+	for team := range f.Limits {
+		out[team] = unit.Resources{}
+	}
 	for team, zones := range f.Held {
 		out[team] = zones[az]
 	}
@@ -43,6 +217,25 @@
 
 // Excess returns what a zone must give back of each team's allotment.
 func (f *Fleet) Excess(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
-	_ = az
-	return nil
+	out := map[unit.Team]unit.Resources{}
+	for team := range f.Held {
+		if e := f.teamExcess(team)[az]; !e.IsZero() {
+			out[team] = e
+		}
+	}
+	return out
+}
+
+// Wanted returns what other zones asked for in vain of each team's limit. A
+// zone that has spare parts of its allotment gives them back.
+func (f *Fleet) Wanted(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	out := map[unit.Team]unit.Resources{}
+	for team, zones := range f.Unmet {
+		for other, lacks := range zones {
+			if other != az {
+				out[team] = addCapped(out[team], lacks)
+			}
+		}
+	}
+	return out
 }
--- /dev/null
+++ b/limiter/zone.go
@@ -0,0 +1,166 @@
+package limiter
+
+import (
+	"fmt"
+
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Zone is one availability zone's spending of its allotments.
+type Zone struct {
+	teams map[unit.Team]*account
+	// unchecked lets a test show that the properties notice a broken Reserve.
+	unchecked bool
+}
+
+type account struct {
+	// allotment is what the log says, returning the part of it that is being
+	// given back: the log may still show it, but it isn't spent any more.
+	allotment unit.Resources
+	returning unit.Resources
+	held      unit.Resources
+	carried   unit.Resources
+}
+
+// NewZone returns a zone without allotments.
+func NewZone() *Zone {
+	return &Zone{teams: map[unit.Team]*account{}}
+}
+
+func (z *Zone) account(team unit.Team) *account {
+	a := z.teams[team]
+	if a == nil {
+		a = &account{}
+		z.teams[team] = a
+	}
+	return a
+}
+
+// spendable is what starts may use in all.
+func (a *account) spendable() unit.Resources {
+	return a.allotment.Sub(a.returning).Max(unit.Resources{})
+}
+
+// charged is what counts against the allotment. What a predecessor may have
+// started counts as if it ran.
+func (a *account) charged() unit.Resources {
+	return addCapped(a.held, a.carried)
+}
+
+// Set stores a team's allotment as the log has it.
+func (z *Zone) Set(team unit.Team, allotment unit.Resources) {
+	z.account(team).allotment = allotment
+}
+
+// Teams returns the allotments that were set.
+func (z *Zone) Teams() map[unit.Team]unit.Resources {
+	out := map[unit.Team]unit.Resources{}
+	for team, a := range z.teams {
+		out[team] = a.allotment
+	}
+	return out
+}
+
+// Fits reports whether Reserve would succeed.
+func (z *Zone) Fits(team unit.Team, need unit.Resources) bool {
+	return z.Lacks(team, need).IsZero()
+}
+
+// Lacks returns what a team's allotment lacks for need, zero if it suffices.
+// A dimension that is over its allotment holds up only work that needs it.
+func (z *Zone) Lacks(team unit.Team, need unit.Resources) unit.Resources {
+	a := z.account(team)
+	if z.unchecked {
+		return unit.Resources{}
+	}
+	spendable := a.spendable().Vector()
+	charged := a.charged().Vector()
+	var lacks [unit.Dimensions]int64
+	for d, n := range need.Vector() {
+		if n > 0 {
+			lacks[d] = max(0, charged[d]+n-spendable[d])
+		}
+	}
+	return unit.FromVector(lacks)
+}
+
+// Reserve charges need to a team's allotment if it suffices.
+func (z *Zone) Reserve(team unit.Team, need unit.Resources) bool {
+	if !z.Fits(team, need) {
+		return false
+	}
+	a := z.account(team)
+	a.held = a.held.Add(need)
+	return true
+}
+
+// Adopt charges a task that was found running, also if that passes the
+// allotment. The task is one of those that the predecessor may have started,
+// so it no longer counts as carried.
+func (z *Zone) Adopt(team unit.Team, need unit.Resources) {
+	a := z.account(team)
+	a.held = a.held.Add(need)
+	a.carried = a.carried.Sub(need.Min(a.carried))
+}
+
+// Free ends the charge of a task.
+func (z *Zone) Free(team unit.Team, need unit.Resources) {
+	a := z.account(team)
+	a.held = a.held.Sub(need)
+	if !(unit.Resources{}).Fits(a.held) {
+		panic(fmt.Sprintf("limiter: team %s freed more than it held: %+v", team, a.held))
+	}
+}
+
+// Held returns what a team's tasks hold.
+func (z *Zone) Held(team unit.Team) unit.Resources {
+	return z.account(team).held
+}
+
+// Spare returns the part of a team's allotment that nothing is charged to.
+func (z *Zone) Spare(team unit.Team) unit.Resources {
+	a := z.account(team)
+	return a.spendable().Sub(a.charged()).Max(unit.Resources{})
+}
+
+// Over returns how far each team's charges pass its allotment: what must stop.
+// What is only carried can't be stopped and isn't counted here.
+func (z *Zone) Over() map[unit.Team]unit.Resources {
+	out := map[unit.Team]unit.Resources{}
+	for team, a := range z.teams {
+		if over := a.held.Sub(a.spendable()).Max(unit.Resources{}); !over.IsZero() {
+			out[team] = over
+		}
+	}
+	return out
+}
+
+// Carry sets what a predecessor may have started and isn't known yet. It
+// counts against the allotment until Adopt finds it or DropCarry ends it.
+func (z *Zone) Carry(team unit.Team, amount unit.Resources) {
+	z.account(team).carried = amount
+}
+
+// DropCarry is called once nothing of the predecessor can run unknown.
+func (z *Zone) DropCarry(team unit.Team) {
+	z.account(team).carried = unit.Resources{}
+}
+
+// Return takes up to amount of the spare allotment out of use and returns the
+// part, which the caller then releases in the log. It is taken out of use
+// before the log is asked: once the release is in the log, another zone may
+// spend it.
+func (z *Zone) Return(team unit.Team, amount unit.Resources) unit.Resources {
+	a := z.account(team)
+	part := amount.Max(unit.Resources{}).Min(z.Spare(team))
+	a.returning = a.returning.Add(part)
+	return part
+}
+
+// Returned ends a Return: the log has applied the release, or surely never
+// will. allotment is the log's allotment after it.
+func (z *Zone) Returned(team unit.Team, part, allotment unit.Resources) {
+	a := z.account(team)
+	a.returning = a.returning.Sub(part.Min(a.returning))
+	a.allotment = allotment
+}
--- /dev/null
+++ b/placer/status.go
@@ -0,0 +1,47 @@
+package placer
+
+import (
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// State tells whether an upstream gets new work.
+type State string
+
+// The states of upstreams.
+const (
+	Ready       State = "Ready"
+	Departing   State = "Departing"
+	Quarantined State = "Quarantined"
+	Gone        State = "Gone"
+)
+
+// Status is an upstream as the status page shows it.
+type Status struct {
+	ID    unit.Upstream
+	Rack  unit.Rack
+	Holds unit.Resources
+	// Used is what its tasks are charged.
+	Used  unit.Resources
+	Tasks int
+	State State
+}
+
+// Status returns the upstreams in the order of their announcement.
+func (c *Cell) Status() []Status {
+	out := make([]Status, 0, len(c.order))
+	for _, u := range c.order {
+		out = append(out, Status{ID: u.ID, Rack: u.Rack, Holds: u.Holds, Used: u.given, Tasks: len(u.tasks), State: u.state()})
+	}
+	return out
+}
+
+func (u *upstream) state() State {
+	switch {
+	case u.gone:
+		return Gone
+	case u.Departing:
+		return Departing
+	default:
+		return Ready
+	}
+}
