queuer, placer: decide by shares, pack, spread, preempt, reserve and quarantine

Cause: first fit in order of arrival knows no shares, no urgency and no gangs. Change: lanes of tasks that are alike, teams by weighted dominant share, an index over free room, claims for urgent work, one reservation for gangs with backfill, learned sizes and run times, quarantine with probes. Baseline: Config{Policy: Arrival{}}.

--- a/limiter/zone.go
+++ b/limiter/zone.go
@@ -9,7 +9,6 @@
 // Zone is one availability zone's spending of its allotments.
 type Zone struct {
 	teams map[unit.Team]*account
-	// unchecked lets a test show that the properties notice a broken Reserve.
 	unchecked bool
 }
 
@@ -27,6 +26,10 @@
 	return &Zone{teams: map[unit.Team]*account{}}
 }
 
+// DisableChecks makes Reserve always succeed. It exists for the tests that
+// show that the limit property notices.
+func (z *Zone) DisableChecks() { z.unchecked = true }
+
 func (z *Zone) account(team unit.Team) *account {
 	a := z.teams[team]
 	if a == nil {
@@ -112,6 +115,11 @@
 	}
 }
 
+// Allotment returns what a team may spend in all.
+func (z *Zone) Allotment(team unit.Team) unit.Resources {
+	return z.account(team).spendable()
+}
+
 // Held returns what a team's tasks hold.
 func (z *Zone) Held(team unit.Team) unit.Resources {
 	return z.account(team).held
@@ -127,14 +135,20 @@
 // What is only carried can't be stopped and isn't counted here.
 func (z *Zone) Over() map[unit.Team]unit.Resources {
 	out := map[unit.Team]unit.Resources{}
-	for team, a := range z.teams {
-		if over := a.held.Sub(a.spendable()).Max(unit.Resources{}); !over.IsZero() {
+	for team := range z.teams {
+		if over := z.OverOf(team); !over.IsZero() {
 			out[team] = over
 		}
 	}
 	return out
 }
 
+// OverOf returns how far one team's charges pass its allotment.
+func (z *Zone) OverOf(team unit.Team) unit.Resources {
+	a := z.account(team)
+	return a.held.Sub(a.spendable()).Max(unit.Resources{})
+}
+
 // Carry sets what a predecessor may have started and isn't known yet. It
 // counts against the allotment until Adopt finds it or DropCarry ends it.
 func (z *Zone) Carry(team unit.Team, amount unit.Resources) {
--- a/placer/status.go
+++ b/placer/status.go
@@ -21,16 +21,29 @@
 	Rack  unit.Rack
 	Holds unit.Resources
 	// Used is what its tasks are charged.
-	Used  unit.Resources
-	Tasks int
-	State State
+	Used unit.Resources
+	// Claimed is kept for tasks that wait for others to end there.
+	Claimed unit.Resources
+	Tasks   int
+	State   State
 }
 
 // Status returns the upstreams in the order of their announcement.
 func (c *Cell) Status() []Status {
-	out := make([]Status, 0, len(c.order))
-	for _, u := range c.order {
-		out = append(out, Status{ID: u.ID, Rack: u.Rack, Holds: u.Holds, Used: u.given, Tasks: len(u.tasks), State: u.state()})
+	out := make([]Status, 0, len(c.slots))
+	for _, u := range c.slots {
+		if u == nil {
+			continue
+		}
+		out = append(out, Status{
+			ID:      u.ID,
+			Rack:    u.Rack,
+			Holds:   u.Holds,
+			Used:    u.given,
+			Claimed: u.urgentClaimed.Add(u.groupClaimed),
+			Tasks:   len(u.tasks),
+			State:   u.state(),
+		})
 	}
 	return out
 }
@@ -41,6 +54,8 @@
 		return Gone
 	case u.Departing:
 		return Departing
+	case u.quarantined:
+		return Quarantined
 	default:
 		return Ready
 	}
--- a/queuer/config.go
+++ b/queuer/config.go
@@ -1,6 +1,8 @@
 package queuer
 
 import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/placer"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -11,7 +13,13 @@
 	// DefaultMaxWaiting.
 	MaxWaiting int
 	Weights    Weights
-	Policy     Policy
+	// Policy is Fair if nil.
+	Policy Policy
+	// Scorer places batch work; nil means the one that the measurements in
+	// docs/design/placement.md speak for.
+	Scorer placer.Scorer
+	// DeclaredSizes switches learned sizes off, for the measurements.
+	DeclaredSizes bool
 }
 
 // DefaultMaxWaiting bounds the waiting tasks if the Config doesn't.
@@ -25,6 +33,48 @@
 	Share   int
 }
 
+// Bounds of waiting.
+const (
+	// settleTime is how long a cell is given to announce its upstreams before
+	// work that fits none of them is said to fit nowhere.
+	settleTime = 10 * clock.Second
+	// impossibleTime is how long waiting work may fit no upstream before it is
+	// rejected: upstreams come and go.
+	impossibleTime = clock.Minute
+	// gangTime is how long a whole gang finds no room before it gets a
+	// reservation, starveTime the same for a single task.
+	gangTime   = clock.Second
+	starveTime = 20 * clock.Second
+	// overdue is how many times starveTime work waits before it gets a
+	// reservation although teams with a smaller load wait too.
+	overdue = 10
+	// searchTime is the time between two searches for work that needs a
+	// reservation.
+	searchTime = 250 * clock.Millisecond
+	// gangRetry is the time between two tries to place a whole gang.
+	gangRetry = 250 * clock.Millisecond
+	// patience is how long a reservation may be late before another group
+	// gets its turn.
+	patience = clock.Minute
+)
+
+func (c Config) scorer() placer.Scorer {
+	if c.Scorer != nil {
+		return c.Scorer
+	}
+	return placer.BestFit{}
+}
+
+// starveTime is shorter the more waiting weighs against packing: a
+// reservation for a large task keeps room empty.
+func (c Config) starveTime() clock.Millis {
+	w := c.Weights
+	if w.Waiting == w.Packing {
+		return starveTime
+	}
+	return starveTime * clock.Millis(1+w.Packing) / clock.Millis(1+w.Waiting)
+}
+
 // Policy is how the order of starts and their places are chosen. The set is
 // closed: Fair, Arrival.
 type Policy interface{ policy() }
--- /dev/null
+++ b/queuer/learn.go
@@ -0,0 +1,99 @@
+package queuer
+
+import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/placer"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// trustedRuns is how many runs make the learned run time count instead of
+	// the declared one.
+	trustedRuns = 3
+	// smoothing is the weight of the past against one run.
+	smoothing = 8
+	// assumedRunTime stands for a run time that is neither declared nor
+	// learned.
+	assumedRunTime = 10 * clock.Minute
+)
+
+// profile is what was learned of a work.
+type profile struct {
+	// size is the largest use that was seen lately.
+	size    unit.Resources
+	runTime clock.Millis
+	runs    int
+}
+
+func (q *Queuer) profile(work unit.Work) *profile {
+	p := q.profiles[work]
+	if p == nil {
+		p = &profile{}
+		q.profiles[work] = p
+	}
+	return p
+}
+
+// Usage takes the measured use of a running task. What it uses beyond its
+// charge is kept free on its upstream as far as there is room, and later
+// tasks of the work are charged by it.
+func (q *Queuer) Usage(id unit.Task, usage unit.Resources) {
+	r, running := q.cell.Running(id)
+	if !running || q.config.DeclaredSizes || !q.fair {
+		return
+	}
+	usage = usage.Max(unit.Resources{})
+	p := q.profile(r.Work)
+	p.size = p.size.Max(usage)
+	if !usage.Fits(r.Charge) || !r.Extra.IsZero() {
+		q.cell.Grow(id, usage)
+	}
+}
+
+// learnEnd learns the run time of a task that ran to its end, and lets a
+// large size that isn't seen any more fade.
+func (q *Queuer) learnEnd(now clock.Millis, r placer.Running) {
+	p := q.profile(r.Work)
+	ran := now - r.Started
+	if p.runs == 0 {
+		p.runTime = ran
+	}
+	p.runTime += (ran - p.runTime) / smoothing
+	p.runs++
+	whole := r.Charge.Add(r.Extra).Vector()
+	size := p.size.Vector()
+	need := r.Need.Vector()
+	for d := range size {
+		if size[d] > need[d] && size[d] > whole[d] {
+			size[d] -= (size[d] - whole[d]) / smoothing
+		}
+	}
+	p.size = unit.FromVector(size)
+}
+
+// charge is what a task is charged: the larger of declared and learned.
+func (q *Queuer) charge(t placer.Task) unit.Resources {
+	p := q.profiles[t.Work]
+	if p == nil || p.size.Fits(t.Need) {
+		return t.Need
+	}
+	return q.cell.Cap(t.Need, p.size)
+}
+
+// runTime is the learned or declared run time, 0 if neither is known.
+func (q *Queuer) runTime(t placer.Task) clock.Millis {
+	if p := q.profiles[t.Work]; p != nil && p.runs >= trustedRuns {
+		return max(p.runTime, clock.Millisecond)
+	}
+	return t.RunTime
+}
+
+func (q *Queuer) endsAt(now clock.Millis, t placer.Task) clock.Millis {
+	if _, is := t.Kind.(placer.Service); is {
+		return placer.Never
+	}
+	if run := q.runTime(t); run > 0 {
+		return now + run
+	}
+	return now + assumedRunTime
+}
--- /dev/null
+++ b/queuer/measure_test.go
@@ -0,0 +1,118 @@
+package queuer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/placer"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// cancelWave adds 10,000 tasks, cancels them in a scattered order and returns
+// the nanoseconds for each.
+func (g *generator) cancelWave() float64 {
+	const wave = 10_000
+	var ids []unit.Task
+	for range wave {
+		ids = append(ids, g.w.add(g.draw()).ID)
+	}
+	g.w.rng.Shuffle(wave, func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	begin := time.Now()
+	for _, id := range ids {
+		g.w.q.Cancel(g.w.now, id)
+		delete(g.w.jobs, id)
+	}
+	return float64(time.Since(begin)) / wave
+}
+
+var mixes = []struct {
+	name string
+	mix
+}{{"pinecradle", pinecradle}, {"mandacaru", mandacaru}}
+
+var scenarios = []struct {
+	name string
+	scenario
+}{
+	{"quiet", scenario{load: 0.3}},
+	{"full", scenario{load: 1}},
+	{"overload", scenario{load: 1.5}},
+	{"storm", scenario{load: 1, wave: true}},
+	{"cancels", scenario{load: 1.5, cancel: true}},
+	{"faulty", scenario{load: 0.5, faulty: 0.3}},
+	{"sizes4x", scenario{load: 1, sizeFactor: 4}},
+	{"times10x", scenario{load: 1, wrongTimes: true}},
+}
+
+var policies = []struct {
+	name   string
+	config Config
+}{
+	{"arrival", Config{Policy: Arrival{}}},
+	{"fair", Config{Policy: Fair{}}},
+}
+
+// BenchmarkScenarios measures both users' mixes under each scenario, by the
+// baseline and by the product's policy.
+func BenchmarkScenarios(b *testing.B) {
+	for _, m := range mixes {
+		for _, s := range scenarios {
+			for _, p := range policies {
+				b.Run(fmt.Sprintf("%s/%s/%s/50", m.name, s.name, p.name), func(b *testing.B) {
+					for range b.N {
+						report(b, run(p.config, m.mix, s.scenario, 50))
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkGrowth measures the cost of a decision as workers grow.
+func BenchmarkGrowth(b *testing.B) {
+	for _, workers := range []int{50, 400, 5900} {
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("pinecradle/full/%s/%d", p.name, workers), func(b *testing.B) {
+				for range b.N {
+					report(b, run(p.config, pinecradle, scenario{load: 1, spanSeconds: 30}, workers))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkScorers weighs the ways to place batch work, on batch alone.
+func BenchmarkScorers(b *testing.B) {
+	scorers := []placer.Scorer{placer.FirstFit{}, placer.BestFit{}, placer.LeastSum{}, placer.Aligned{}}
+	for _, m := range mixes {
+		for _, sc := range scorers {
+			b.Run(fmt.Sprintf("%s/%T", m.name, sc), func(b *testing.B) {
+				for range b.N {
+					report(b, run(Config{Scorer: sc}, m.mix, scenario{load: 1.5, onlyBatch: true}, 50))
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, m measured) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(percentile(m.waits, 0.5))/float64(clock.Second), "wait-p50-s")
+	b.ReportMetric(float64(percentile(m.waits, 0.99))/float64(clock.Second), "wait-p99-s")
+	b.ReportMetric(float64(percentile(m.urgentWaits, 0.99))/float64(clock.Second), "urgent-p99-s")
+	b.ReportMetric(100*m.packing, "packing-%")
+	b.ReportMetric(100*m.distance, "off-share-%")
+	b.ReportMetric(float64(m.preemptions), "stops")
+	b.ReportMetric(float64(m.starts), "starts")
+	b.ReportMetric(float64(m.took)/float64(max(1, m.decisions)), "ns/decision")
+	b.ReportMetric(float64(percentile(m.perDecision, 0.99)), "ns/decision-p99")
+	if m.cancelTook > 0 {
+		b.ReportMetric(m.cancelTook, "ns/cancel")
+	}
+	if m.onFaulty > 0 {
+		b.ReportMetric(float64(m.onFaulty), "starts-on-faulty")
+	}
+	b.ReportMetric(100*m.overuse, "overused-%")
+}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -6,11 +6,19 @@
 // order of arrival. A task that can't start now says why (see Why) and holds
 // up nobody behind it that could start without delaying it.
 //
+// Tasks that are alike stand in one lane. A pass goes over the lanes in that
+// order and tries their heads; a lane that found no room is tried again only
+// where room was freed since. So a decision costs by the lanes and not by the
+// waiting tasks or the upstreams.
+//
 // The package is a deterministic state machine: no goroutine, no clock.
 package queuer
 
 import (
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/limiter"
+	"github.com/chervilvane/chervilvane/placer"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -43,3 +51,128 @@
 func (Start) decision()  {}
 func (Stop) decision()   {}
 func (Reject) decision() {}
+
+// Queuer holds the waiting tasks of one availability zone, its cell and its
+// allotments.
+type Queuer struct {
+	config Config
+	// fair is false for the baseline of the measurements.
+	fair bool
+	cell *placer.Cell
+	zone *limiter.Zone
+
+	teams  map[unit.Team]*team
+	byName []*team
+	tasks  map[unit.Task]*waiting
+	lanes  map[laneKey]*lane
+	seq    uint64
+	// counts are the waiting tasks, urgent and others.
+	counts [classes]int
+
+	settled    map[unit.Work]bool
+	dependants map[unit.Work][]*waiting
+	// failed lists works whose dependants must be rejected.
+	failed    []unit.Work
+	profiles  map[unit.Work]*profile
+	deadlines deadlines
+	gangs     map[gangKey]int
+	// shrunk are the upstreams that may hold less than they were given.
+	shrunk      map[unit.Upstream]struct{}
+	claims      []*waiting
+	reservation *reservation
+	searchedAt  clock.Millis
+	// watched are lanes whose head fits no upstream, full or empty.
+	watched []*lane
+	// checkOver is set while a team may hold more than its allotment.
+	checkOver bool
+
+	freed freedLog
+	// recheck asks for a pass over all lanes, also where no room was freed.
+	recheck bool
+	// floor is at most what any lane needs that found no room.
+	floor unit.Resources
+	// since is when the first upstream was announced.
+	since   clock.Millis
+	started bool
+
+	// partialGangs lets a test show that the properties notice a gang that
+	// starts in part.
+	partialGangs bool
+
+	now  clock.Millis
+	most int
+	out  []Decision
+}
+
+// gangKey names a gang in the fleet.
+type gangKey struct {
+	team unit.Team
+	work unit.Work
+}
+
+// New returns a queuer without upstreams, teams and tasks.
+func New(config Config) *Queuer {
+	if config.MaxWaiting <= 0 {
+		config.MaxWaiting = DefaultMaxWaiting
+	}
+	if config.Policy == nil {
+		config.Policy = Fair{}
+	}
+	q := &Queuer{
+		config:     config,
+		zone:       limiter.NewZone(),
+		teams:      map[unit.Team]*team{},
+		tasks:      map[unit.Task]*waiting{},
+		lanes:      map[laneKey]*lane{},
+		settled:    map[unit.Work]bool{},
+		dependants: map[unit.Work][]*waiting{},
+		profiles:   map[unit.Work]*profile{},
+		gangs:      map[gangKey]int{},
+		shrunk:     map[unit.Upstream]struct{}{},
+	}
+	switch config.Policy.(type) {
+	case Fair:
+		q.fair = true
+		q.cell = placer.NewCell(config.scorer())
+	case Arrival:
+		q.cell = placer.NewCell(placer.FirstFit{})
+		q.cell.DisableQuarantine()
+	}
+	return q
+}
+
+// Zone returns the zone's spending, for returning spare allotments.
+func (q *Queuer) Zone() *limiter.Zone { return q.zone }
+
+// Worker announces an upstream or changes it. It may hold less than before.
+func (q *Queuer) Worker(now clock.Millis, w placer.Worker) {
+	if !q.started {
+		q.started = true
+		q.since = now
+	}
+	if q.cell.SetWorker(now, w) {
+		q.shrunk[w.ID] = struct{}{}
+	}
+}
+
+// WorkerGone takes an upstream out and returns its tasks. They stay charged
+// until Ended is called for each.
+func (q *Queuer) WorkerGone(now clock.Millis, id unit.Upstream) []unit.Task {
+	return q.cell.Remove(now, id)
+}
+
+// Carry counts what a predecessor may have started against a team's allotment
+// until Adopt finds it or DropCarry is called.
+func (q *Queuer) Carry(team unit.Team, amount unit.Resources) {
+	q.zone.Carry(team, amount)
+}
+
+// DropCarry is called once every upstream of the zone was claimed, or the
+// leases of the predecessor's tasks have surely ended.
+func (q *Queuer) DropCarry(team unit.Team) {
+	q.zone.DropCarry(team)
+	q.recheck = true
+}
+
+// Waiting returns the number of waiting tasks.
+func (q *Queuer) Waiting() int { return len(q.tasks) }
