--- /dev/null
+++ b/caller/check.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// singleHeaders may come once only: two values leave open which one counts.
+var singleHeaders = []string{"Authorization", "Content-Length", "Content-Type"}
+
+// readBody decodes a bounded JSON body strictly.
+func readBody(w http.ResponseWriter, r *http.Request, into any) (dispatcher.Refusal, bool) {
+	for _, h := range singleHeaders {
+		if len(r.Header.Values(h)) > 1 {
+			return badRequest("the header " + h + " came more than once"), true
+		}
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return badRequest(fmt.Sprintf("the body is larger than %d bytes", MaxBody)), true
+	}
+	if err != nil {
+		return badRequest("the body was cut off: " + err.Error()), true
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return badRequest("the body is not the JSON object of a submission: " + err.Error()), true
+	}
+	if d.More() {
+		return badRequest("the body holds more than one JSON value"), true
+	}
+	return dispatcher.Refusal{}, false
+}
+
+func checkSubmission(body submission) (dispatcher.Refusal, bool) {
+	switch {
+	case !validID.MatchString(body.ID):
+		return badRequest("ID must match " + validID.String()), true
+	case body.Queue == "":
+		return badRequest("Queue is missing"), true
+	case body.TimeoutMillis < 0 || body.TimeoutMillis > MaxTimeout:
+		return badRequest(fmt.Sprintf("TimeoutMillis must be from 0 to %d", int64(MaxTimeout))), true
+	}
+	return dispatcher.Refusal{}, false
+}
+
+// bearer returns the key token of a request.
+func bearer(r *http.Request) (authenticator.Token, dispatcher.Refusal, bool) {
+	values := r.Header.Values("Authorization")
+	if len(values) == 0 {
+		return authenticator.Token{}, keyMissing(), false
+	}
+	text, isBearer := strings.CutPrefix(values[0], "Bearer ")
+	if !isBearer || len(values) > 1 {
+		return authenticator.Token{}, keyMissing(), false
+	}
+	token, err := authenticator.ParseToken(text)
+	if err != nil {
+		return authenticator.Token{}, keyRefused(err.Error()), false
+	}
+	return token, dispatcher.Refusal{}, true
+}
+
+// retryAfter is the wait that refusals of a passing condition recommend.
+const retryAfter = 1 * clock.Second
+
+func badRequest(detail string) dispatcher.Refusal {
+	return dispatcher.Refusal{Reason: dispatcher.ReasonBadRequest, Detail: detail, Remedy: "correct the request"}
+}
+
+func keyMissing() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonKeyMissing,
+		Detail: "the queue takes work only with one key of its team",
+		Remedy: "send the header Authorization: Bearer KEY once",
+	}
+}
+
+func keyRefused(detail string) dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonKeyRefused, Detail: detail,
+		Remedy: "ask an operator for a key of the queue's team",
+	}
+}
+
+func keysStale() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason:     dispatcher.ReasonKeysStale,
+		Detail:     "this instance can't tell whether the key was withdrawn, since it is cut off from the log",
+		Remedy:     "resend to an instance of another availability zone, or when the cut has healed",
+		RetryAfter: retryAfter,
+	}
+}
+
+func noConfiguration() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason:     dispatcher.ReasonNoConfiguration,
+		Detail:     "no configuration was accepted yet, or this instance hasn't received it",
+		Remedy:     "an operator must apply a configuration",
+		RetryAfter: retryAfter,
+	}
+}
+
+func noSuchQueue(q unit.Queue) dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoSuchQueue,
+		Detail: fmt.Sprintf("the configuration has no queue %q", string(q)),
+		Remedy: "name a queue of the configuration in force",
+	}
+}
+
+func noSuchRequest() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoSuchRequest,
+		Detail: "the scheduler of the id's home holds no such request of this client account",
+		Remedy: "check the id and the key; outcomes are kept for an hour",
+	}
+}
+
+func unreachable(err error) dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoScheduler, Detail: err.Error(),
+		Remedy: "ask again, also at another instance", RetryAfter: retryAfter,
+	}
+}
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -57,6 +57,7 @@
 const (
 	ReasonBadRequest       Reason = "BadRequest"
 	ReasonNoSuchQueue      Reason = "NoSuchQueue"
+	ReasonNoSuchRequest    Reason = "NoSuchRequest"
 	ReasonKeyMissing       Reason = "KeyMissing"
 	ReasonKeyRefused       Reason = "KeyRefused"
 	ReasonKeysStale        Reason = "KeysStale"
--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 
+	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/parser"
@@ -110,24 +111,16 @@
 
 func (r *Registrar) grantKey(c GrantKey) Result {
 	r.tick(c.At)
-	old, known := r.st.Keys[c.Key]
-	if known && old.Withdrawn {
-		return Rejected{Reason: dispatcher.ReasonKeyRefused, Detail: "a withdrawn key can't be granted again"}
+	k := authenticator.Key{ID: c.Key, Hash: c.Hash, Account: c.Account, Team: c.Team, ChangedAt: c.At}
+	if err := r.st.Ring.Grant(k); err != nil {
+		return Rejected{Reason: dispatcher.ReasonKeyRefused, Detail: err.Error()}
 	}
-	if known && !(bytes.Equal(old.Hash, c.Hash) && old.Account == c.Account && old.Team == c.Team) {
-		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "the key id is taken"}
-	}
-	r.st.Keys[c.Key] = Key{ID: c.Key, Hash: c.Hash, Account: c.Account, Team: c.Team, ChangedAt: c.At}
 	return KeyGranted{}
 }
 
 func (r *Registrar) withdrawKey(c WithdrawKey) Result {
 	r.tick(c.At)
-	k := r.st.Keys[c.Key]
-	k.ID = c.Key
-	k.Withdrawn = true
-	k.ChangedAt = c.At
-	r.st.Keys[c.Key] = k
+	r.st.Ring.Withdraw(c.Key, c.At)
 	return KeyWithdrawn{}
 }
 
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/encoder"
@@ -26,7 +27,7 @@
 // GrantKey makes a key valid. A key id that was ever withdrawn can't be
 // granted. Result: KeyGranted.
 type GrantKey struct {
-	Key      KeyID
+	Key      authenticator.KeyID
 	Hash     []byte
 	Account  unit.ClientAccount
 	Team     unit.Team
@@ -37,7 +38,7 @@
 // WithdrawKey ends a key for good, also one that isn't granted yet. Result:
 // KeyWithdrawn.
 type WithdrawKey struct {
-	Key      KeyID
+	Key      authenticator.KeyID
 	Operator string
 	At       clock.Millis
 }
--- a/registrar/query.go
+++ b/registrar/query.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 
+	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/parser"
 	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
@@ -38,23 +39,17 @@
 }
 
 // Key returns a key by its id.
-func (r *Registrar) Key(id KeyID) (Key, bool) {
+func (r *Registrar) Key(id authenticator.KeyID) (authenticator.Key, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	k, ok := r.st.Keys[id]
-	return k, ok
+	return r.st.Ring.Key(id)
 }
 
 // Keys returns all keys, in the order of their ids.
-func (r *Registrar) Keys() []Key {
+func (r *Registrar) Keys() []authenticator.Key {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	keys := make([]Key, 0, len(r.st.Keys))
-	for _, k := range r.st.Keys {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i].ID < keys[j].ID })
-	return keys
+	return r.st.Ring.All()
 }
 
 // Zone returns who schedules an availability zone.
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -6,20 +6,6 @@
 	"github.com/chervilvane/chervilvane/unit"
 )
 
-// KeyID names a key; it is public, the key's secret is not.
-type KeyID string
-
-// Key is a granted or withdrawn key.
-type Key struct {
-	ID        KeyID
-	Hash      []byte
-	Account   unit.ClientAccount
-	Team      unit.Team
-	Withdrawn bool
-	// ChangedAt is when the key was last granted or withdrawn.
-	ChangedAt clock.Millis
-}
-
 // Zone is who schedules an availability zone.
 type Zone struct {
 	Epoch  unit.Epoch
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/limiter"
@@ -40,7 +41,7 @@
 	Operator string
 	History  []HistoryEntry
 	Answered []answered
-	Keys     map[KeyID]Key
+	Ring     authenticator.Ring
 	Zones    map[unit.AvailabilityZone]Zone
 	Fleet    limiter.Fleet
 	Records  map[unit.Request]Record
@@ -79,7 +80,6 @@
 
 func emptyState() state {
 	return state{
-		Keys:    map[KeyID]Key{},
 		Zones:   map[unit.AvailabilityZone]Zone{},
 		Records: map[unit.Request]Record{},
 	}
