--- /dev/null
+++ b/scheduler/config.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Config of a Scheduler.
+type Config struct {
+	Instance         unit.Instance
+	AvailabilityZone unit.AvailabilityZone
+	Clock            clock.Clock
+	State            *registrar.Registrar
+	// Propose appends a command to the log, wherever its leader is. A
+	// *replicator.UnknownResultError means that the command may be committed.
+	Propose   func(ctx context.Context, c registrar.Command) (registrar.Result, error)
+	Upstreams Upstreams
+	Holder    Holder
+	// TaskLease is how long an upstream runs a task unrenewed.
+	TaskLease clock.Millis
+	Logger    logrus.FieldLogger
+	Metrics   tally.Scope
+	Tracer    trace.Tracer
+}
+
+// Upstreams carries orders to upstreams.
+type Upstreams interface {
+	// Start asks an upstream to run a task. A *dispatcher.NotSentError means
+	// that the order surely never arrived; any other error leaves it open.
+	Start(ctx context.Context, address string, o dispatcher.StartOrder) (dispatcher.StartReply, error)
+	// Stop asks an upstream to stop a task.
+	Stop(ctx context.Context, address string, o dispatcher.StopOrder) error
+}
+
+// Holder says whether this instance may start work in its zone now, and under
+// which epoch.
+type Holder interface {
+	MayStart(now clock.Millis) (unit.Epoch, bool)
+}
+
+// Standing is what is known of a request. The set is closed: Ended, Pending,
+// Unheard.
+type Standing interface{ standing() }
+
+// Ended is a request with an outcome.
+type Ended struct{ Outcome dispatcher.Outcome }
+
+// Pending is a request without an outcome yet, and what it waits for.
+type Pending struct{ Why dispatcher.Refusal }
+
+// Unheard is a request that this scheduler doesn't know.
+type Unheard struct{}
+
+func (Ended) standing()   {}
+func (Pending) standing() {}
+func (Unheard) standing() {}
