--- a/caller/answer.go
+++ b/caller/answer.go
@@ -55,7 +55,7 @@
 	}{id, outcome, r.Reason, r.Detail, r.Remedy, r.RetryAfter})
 }
 
-func writeState(w http.ResponseWriter, id string, s scheduler.State) {
+func writeState(w http.ResponseWriter, id string, s scheduler.Standing) {
 	switch s := s.(type) {
 	case scheduler.Ended:
 		writeOutcome(w, id, s.Outcome)
@@ -66,7 +66,7 @@
 			Reason  dispatcher.Reason
 			Detail  string
 			Remedy  string
-		}{id, "Pending", s.Refusal.Reason, s.Refusal.Detail, s.Refusal.Remedy})
+		}{id, "Pending", s.Why.Reason, s.Why.Detail, s.Why.Remedy})
 	case scheduler.Unheard:
 		writeRefusal(w, id, "Unknown", noSuchRequest())
 	default:
--- a/caller/server.go
+++ b/caller/server.go
@@ -36,8 +36,8 @@
 type Router interface {
 	NewID() string
 	Submit(ctx context.Context, s router.Submission) (outcome dispatcher.Outcome, accepted bool)
-	Result(ctx context.Context, callerID string, id unit.Request) (scheduler.State, error)
-	Cancel(ctx context.Context, callerID string, id unit.Request) (scheduler.State, error)
+	Result(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error)
+	Cancel(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error)
 }
 
 // Config of a Server.
@@ -208,7 +208,7 @@
 // stateTimeout bounds the search for a request's scheduler.
 const stateTimeout = 5 * clock.Second
 
-func (s *Server) state(w http.ResponseWriter, r *http.Request, ask func(context.Context, string, unit.Request) (scheduler.State, error)) {
+func (s *Server) state(w http.ResponseWriter, r *http.Request, ask func(context.Context, string, unit.Request) (scheduler.Standing, error)) {
 	id := mux.Vars(r)["id"]
 	if !validID.MatchString(id) {
 		writeNotRun(w, id, badRequest("the id must match "+validID.String()))
--- /dev/null
+++ b/operator/read.go
@@ -0,0 +1,52 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request, _ string) {
+	text, version := s.c.State.Text()
+	writeJSON(w, http.StatusOK, struct {
+		Version unit.Version
+		Text    string
+	}{version, string(text)})
+}
+
+// historyLine is one accepted configuration in the history.
+type historyLine struct {
+	Version  unit.Version
+	Operator string
+	AtMillis clock.Millis
+}
+
+func (s *Server) history(w http.ResponseWriter, _ *http.Request, _ string) {
+	var lines []historyLine
+	for _, h := range s.c.State.History() {
+		lines = append(lines, historyLine{h.Version, h.Operator, h.At})
+	}
+	writeJSON(w, http.StatusOK, struct{ History []historyLine }{lines})
+}
+
+func (s *Server) running(w http.ResponseWriter, r *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, struct{ Instances []RunningVersion }{s.c.Running(r.Context())})
+}
+
+// keyLine is one key as operators see it: without its hash.
+type keyLine struct {
+	Key       authenticator.KeyID
+	Account   unit.ClientAccount
+	Team      unit.Team
+	Withdrawn bool
+}
+
+func (s *Server) keys(w http.ResponseWriter, _ *http.Request, _ string) {
+	var lines []keyLine
+	for _, k := range s.c.State.Keys() {
+		lines = append(lines, keyLine{k.ID, k.Account, k.Team, k.Withdrawn})
+	}
+	writeJSON(w, http.StatusOK, struct{ Keys []keyLine }{lines})
+}
--- a/router/mesh.go
+++ b/router/mesh.go
@@ -138,7 +138,7 @@
 
 // Result returns the state of a request. The log knows the requests that were
 // accepted or not repeatable; the home's scheduler knows the others.
-func (r *Router) Result(ctx context.Context, callerID string, id unit.Request) (scheduler.State, error) {
+func (r *Router) Result(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error) {
 	if rec, known := r.c.State.Record(id); known && !rec.Open() {
 		outcome, err := dispatcher.UnmarshalOutcome(rec.Outcome)
 		return scheduler.Ended{Outcome: outcome}, err
@@ -147,14 +147,14 @@
 }
 
 // Cancel asks for the end of a request.
-func (r *Router) Cancel(ctx context.Context, callerID string, id unit.Request) (scheduler.State, error) {
+func (r *Router) Cancel(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error) {
 	return r.askState(ctx, callerID, id, MethodCancel, r.serveCancel)
 }
 
 // ErrNoScheduler is returned when a zone's scheduler can't be reached.
 var ErrNoScheduler = errors.New("the request's home has no scheduler that this instance can reach")
 
-func (r *Router) askState(ctx context.Context, callerID string, id unit.Request, m instance.Method, here func(context.Context, idBody) stateReply) (scheduler.State, error) {
+func (r *Router) askState(ctx context.Context, callerID string, id unit.Request, m instance.Method, here func(context.Context, idBody) stateReply) (scheduler.Standing, error) {
 	home, ok := r.home(callerID)
 	if !ok {
 		return nil, ErrNoScheduler
@@ -163,7 +163,7 @@
 		holder := r.c.State.Zone(home).Holder
 		reply, err := call(ctx, r, holder, m, idBody{Request: id}, here)
 		if err == nil && !reply.NotHolder {
-			return scheduler.UnmarshalState(reply.State)
+			return unmarshalStanding(reply.State)
 		}
 		if !r.budget.retry(false) || backoff(ctx, attempt) != nil {
 			return nil, errors.CombineErrors(ErrNoScheduler, err)
@@ -175,14 +175,14 @@
 	if !r.holding() {
 		return stateReply{NotHolder: true}
 	}
-	return stateReply{State: scheduler.MarshalState(r.c.Local.Result(ctx, b.Request))}
+	return stateReply{State: marshalStanding(r.c.Local.Result(ctx, b.Request))}
 }
 
 func (r *Router) serveCancel(ctx context.Context, b idBody) stateReply {
 	if !r.holding() {
 		return stateReply{NotHolder: true}
 	}
-	return stateReply{State: scheduler.MarshalState(r.c.Local.Cancel(ctx, b.Request))}
+	return stateReply{State: marshalStanding(r.c.Local.Cancel(ctx, b.Request))}
 }
 
 // Report brings an upstream's report to the scheduler of its zone.
--- a/router/router.go
+++ b/router/router.go
@@ -36,8 +36,8 @@
 type Scheduler interface {
 	Submit(ctx context.Context, r dispatcher.Request) dispatcher.Outcome
 	Accept(ctx context.Context, r dispatcher.Request) (bool, dispatcher.Outcome)
-	Result(ctx context.Context, id unit.Request) scheduler.State
-	Cancel(ctx context.Context, id unit.Request) scheduler.State
+	Result(ctx context.Context, id unit.Request) scheduler.Standing
+	Cancel(ctx context.Context, id unit.Request) scheduler.Standing
 	Report(ctx context.Context, r dispatcher.Report) (dispatcher.ReportReply, error)
 }
 
--- /dev/null
+++ b/router/standing.go
@@ -0,0 +1,47 @@
+package router
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/scheduler"
+)
+
+// standingBody is a scheduler.Standing on the mesh. Exactly one of its fields
+// is set.
+type standingBody struct {
+	Ended   []byte
+	Pending *dispatcher.Refusal
+	Unheard bool
+}
+
+func marshalStanding(s scheduler.Standing) []byte {
+	switch s := s.(type) {
+	case scheduler.Ended:
+		return encoder.Marshal(standingBody{Ended: dispatcher.MarshalOutcome(s.Outcome)})
+	case scheduler.Pending:
+		return encoder.Marshal(standingBody{Pending: &s.Why})
+	case scheduler.Unheard:
+		return encoder.Marshal(standingBody{Unheard: true})
+	default:
+		panic("router: standing without a case")
+	}
+}
+
+func unmarshalStanding(data []byte) (scheduler.Standing, error) {
+	var b standingBody
+	if err := encoder.Unmarshal(data, &b); err != nil {
+		return nil, err
+	}
+	switch {
+	case b.Unheard:
+		return scheduler.Unheard{}, nil
+	case b.Pending != nil:
+		return scheduler.Pending{Why: *b.Pending}, nil
+	case len(b.Ended) > 0:
+		outcome, err := dispatcher.UnmarshalOutcome(b.Ended)
+		return scheduler.Ended{Outcome: outcome}, err
+	}
+	return nil, errors.New("a standing without a case")
+}
