--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -87,6 +87,9 @@
 	return tokenVersion + "." + string(t.ID) + ".(secret)"
 }
 
+// GoString hides the secret from the format %#v as well.
+func (t Token) GoString() string { return t.String() }
+
 // Hash returns the SHA-256 of the secret.
 func (t Token) Hash() []byte {
 	sum := sha256.Sum256([]byte(t.secret))
--- /dev/null
+++ b/authenticator/authenticator_test.go
@@ -0,0 +1,138 @@
+package authenticator_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+	"github.com/chervilvane/chervilvane/clock"
+)
+
+// fixture is an authenticator over a ring with one granted key.
+type fixture struct {
+	ring  *authenticator.Ring
+	token authenticator.Token
+	clk   clock.Clock
+	fresh clock.Millis
+	auth  *authenticator.Authenticator
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	token, err := authenticator.NewToken()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fixture{ring: &authenticator.Ring{}, token: token, clk: clock.NewManual(1000), fresh: 1000}
+	if err := f.ring.Grant(authenticator.Key{ID: token.ID, Hash: token.Hash(), Account: "web", Team: "booking"}); err != nil {
+		t.Fatal(err)
+	}
+	f.auth = authenticator.New(authenticator.Config{
+		Keys: f.ring, Clock: f.clk, Freshness: 3 * clock.Second,
+		FreshAt: func() clock.Millis { return f.fresh },
+	})
+	return f
+}
+
+func TestCheck(t *testing.T) {
+	other, err := authenticator.NewToken()
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged := strings.Replace(other.Text(), string(other.ID), "", 1)
+	cases := map[string]struct {
+		change func(f *fixture)
+		token  func(f *fixture) string
+		want   authenticator.Refusal
+	}{
+		"granted":                 {want: authenticator.Honoured},
+		"unknown":                 {token: func(*fixture) string { return other.Text() }, want: authenticator.Refused},
+		"right id, wrong secret":  {token: func(f *fixture) string { return strings.Replace(forged, "cv1..", "cv1."+string(f.token.ID)+".", 1) }, want: authenticator.Refused},
+		"withdrawn":               {change: func(f *fixture) { f.ring.Withdraw(f.token.ID, 1) }, want: authenticator.Refused},
+		"withdrawn here only":     {change: func(f *fixture) { f.auth.Withdraw(f.token.ID) }, want: authenticator.Refused},
+		"fresh to the last":       {change: func(f *fixture) { f.clk.Advance(3 * clock.Second) }, want: authenticator.Honoured},
+		"stale":                   {change: func(f *fixture) { f.clk.Advance(3*clock.Second + 1) }, want: authenticator.Stale},
+		"fresh again after a cut": {change: func(f *fixture) { f.clk.Advance(clock.Hour); f.fresh = f.clk.Now() }, want: authenticator.Honoured},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			if c.change != nil {
+				c.change(f)
+			}
+			text := f.token.Text()
+			if c.token != nil {
+				text = c.token(f)
+			}
+			token, err := authenticator.ParseToken(text)
+			is.NoErr(err)
+			_, got := f.auth.Check(token)
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func TestGrantAndWithdrawInAnyOrderEndWithdrawn(t *testing.T) {
+	is := is.New(t)
+	token, err := authenticator.NewToken()
+	is.NoErr(err)
+	key := authenticator.Key{ID: token.ID, Hash: token.Hash(), Account: "web", Team: "booking"}
+	var grantFirst, withdrawFirst authenticator.Ring
+	is.NoErr(grantFirst.Grant(key))
+	grantFirst.Withdraw(key.ID, 1)
+	withdrawFirst.Withdraw(key.ID, 1)
+	is.Equal(withdrawFirst.Grant(key), authenticator.ErrWithdrawn)
+	for _, ring := range []authenticator.Ring{grantFirst, withdrawFirst} {
+		got, known := ring.Key(key.ID)
+		is.True(known && got.Withdrawn)
+		is.Equal(ring.Grant(key), authenticator.ErrWithdrawn) // a resent grant doesn't revive it
+	}
+}
+
+func TestGrantRefusesTakenID(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	err := f.ring.Grant(authenticator.Key{ID: f.token.ID, Hash: []byte("other"), Account: "web", Team: "booking"})
+	is.Equal(err, authenticator.ErrTaken)
+}
+
+func TestPendingEndsWhenTheRingHoldsIt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.auth.Withdraw(f.token.ID)
+	is.Equal(f.auth.Pending(), []authenticator.KeyID{f.token.ID})
+	f.ring.Withdraw(f.token.ID, 2)
+	is.Equal(len(f.auth.Pending()), 0)
+	_, ok := f.auth.Identify(f.token)
+	is.True(!ok)
+}
+
+func TestTokenHidesItsSecretWhenPrinted(t *testing.T) {
+	is := is.New(t)
+	token, err := authenticator.NewToken()
+	is.NoErr(err)
+	secret := strings.Split(token.Text(), ".")[2]
+	for _, printed := range []string{fmt.Sprint(token), fmt.Sprintf("%v", token), fmt.Sprintf("%+v", token), fmt.Sprintf("%#v", token)} {
+		is.True(!strings.Contains(printed, secret))
+	}
+}
+
+func TestParseTokenRefuses(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":        "",
+		"other prefix": "cv2.0123456789abcdef.x",
+		"short id":     "cv1.0123.x",
+		"upper case":   "cv1.0123456789ABCDEF.x",
+		"no secret":    "cv1.0123456789abcdef.",
+		"extra part":   "cv1.0123456789abcdef.x.y",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := authenticator.ParseToken(text)
+			is.New(t).Equal(err, authenticator.ErrMalformed)
+		})
+	}
+}
