instance, certifier, tracer, logger, meter: connect instances over mutual TLS

The mesh dials a peer when it first needs it, keeps the connection and sends each call on its own stream. A peer acts on a call only once it has seen the end of its stream, so a call whose end was never handed to the connection is surely not delivered.

--- /dev/null
+++ b/instance/call.go
@@ -0,0 +1,132 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/tracer"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// DefaultTimeout bounds a call whose context has no deadline.
+const DefaultTimeout = 10 * time.Second
+
+// Call implements Caller. A call to the instance itself goes straight to the
+// handler.
+func (m *Mesh) Call(ctx context.Context, to unit.Instance, method Method, body []byte) ([]byte, error) {
+	if _, has := ctx.Deadline(); !has {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+	}
+	ctx, span := tracer.StartChild(ctx, m.cfg.Tracer, "mesh call "+string(method), trace.WithSpanKind(trace.SpanKindClient))
+	answer, err := m.call(ctx, to, method, body)
+	tracer.End(span, err)
+	m.metrics.calls.Inc(1)
+	if err != nil {
+		m.metrics.callFailures.Inc(1)
+	}
+	return answer, err
+}
+
+func (m *Mesh) call(ctx context.Context, to unit.Instance, method Method, body []byte) ([]byte, error) {
+	if len(body) > MaxBody {
+		return nil, &CallError{Peer: to, Cause: errors.Newf("a body of %d bytes is too long", len(body))}
+	}
+	if to == m.cfg.Self {
+		return m.callSelf(ctx, method, body)
+	}
+	p, known := m.peers[to]
+	if !known {
+		return nil, &CallError{Peer: to, Cause: errors.New("no such peer in the settings")}
+	}
+	conn, err := p.connection(ctx)
+	if err != nil {
+		return nil, &CallError{Peer: to, Cause: err}
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, &CallError{Peer: to, Cause: err}
+	}
+	abandoned := context.AfterFunc(ctx, func() { abandon(stream) })
+	defer abandoned()
+	reply, delivered, err := exchange(ctx, stream, callFrame{
+		Method:  method,
+		Timeout: timeLeft(ctx),
+		Trace:   tracer.Carry(ctx),
+		Body:    body,
+	})
+	if err != nil {
+		abandon(stream)
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, &CallError{Peer: to, Delivered: delivered, Cause: err}
+	}
+	return answerOf(to, reply)
+}
+
+// exchange sends a call and reads its reply. The peer acts on a frame only
+// once it has seen the end of the stream, so the call is surely not delivered
+// while the end wasn't handed to the connection.
+func exchange(ctx context.Context, s *quic.Stream, f callFrame) (r replyFrame, delivered bool, err error) {
+	if _, err := s.Write(encoder.Marshal(f)); err != nil {
+		return r, false, err
+	}
+	if err := ctx.Err(); err != nil {
+		return r, false, err
+	}
+	// Close fails only on a stream that was abandoned before, whose end then
+	// is never sent.
+	if err := s.Close(); err != nil {
+		return r, false, err
+	}
+	err = readFrame(s, &r)
+	return r, true, err
+}
+
+// abandon frees the stream and tells the peer that nobody waits for an answer.
+func abandon(s *quic.Stream) {
+	s.CancelWrite(codeAbandoned)
+	s.CancelRead(codeAbandoned)
+}
+
+func answerOf(to unit.Instance, r replyFrame) ([]byte, error) {
+	switch r.Status {
+	case statusAnswered:
+		return r.Body, nil
+	case statusFailed:
+		return nil, &RemoteError{Peer: to, Message: string(r.Body)}
+	case statusRefused:
+		return nil, &CallError{Peer: to, Cause: errors.Newf("refused: %s", r.Body)}
+	default:
+		return nil, &CallError{Peer: to, Delivered: true, Cause: errors.Newf("a reply of unknown status %d", r.Status)}
+	}
+}
+
+func (m *Mesh) callSelf(ctx context.Context, method Method, body []byte) ([]byte, error) {
+	h, known := m.handlers[method]
+	if !known {
+		return nil, &CallError{Peer: m.cfg.Self, Cause: errors.Newf("no method %s", method)}
+	}
+	answer, err := h(ctx, m.cfg.Self, body)
+	if err != nil {
+		return nil, &RemoteError{Peer: m.cfg.Self, Message: err.Error()}
+	}
+	return answer, nil
+}
+
+// timeLeft returns the time until the deadline of ctx.
+func timeLeft(ctx context.Context) clock.Millis {
+	deadline, has := ctx.Deadline()
+	if !has {
+		return clock.FromDuration(DefaultTimeout)
+	}
+	return max(clock.FromDuration(time.Until(deadline)), 0)
+}
--- /dev/null
+++ b/instance/mesh.go
@@ -0,0 +1,240 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// protocol is the ALPN name of the mesh; its number rises when frames change
+// in a way that older instances can't read.
+const protocol = "chervilvane-mesh/1"
+
+const (
+	// keepAlive is the time between signs of life on a connection without
+	// traffic. Only the side that dialled sends them.
+	keepAlive = time.Second
+	// silence is the time without a sign of life after which a connection is
+	// given up.
+	silence = 4 * time.Second
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 2 * time.Second
+	// maxStreams bounds the calls in progress from one peer.
+	maxStreams = 4096
+	// maxUniStreams bounds the streams of one-way messages from one peer, of
+	// which it needs one.
+	maxUniStreams = 4
+)
+
+// Application error codes of the mesh's connections and streams.
+const (
+	codeClosing   quic.ApplicationErrorCode = 1
+	codeIdentity  quic.ApplicationErrorCode = 2
+	codeAbandoned quic.StreamErrorCode      = 1
+	codeMalformed quic.StreamErrorCode      = 2
+)
+
+// Config of a Mesh. Logger, Metrics and Tracer may be nil.
+type Config struct {
+	Self unit.Instance
+	// Listen is the UDP address, as IP:PORT.
+	Listen string
+	// Peers holds the mesh address of each instance of the fleet. An entry for
+	// Self is ignored.
+	Peers       map[unit.Instance]string
+	Credentials certifier.Credentials
+	Clock       clock.Clock
+	Logger      logrus.FieldLogger
+	Metrics     tally.Scope
+	Tracer      trace.Tracer
+}
+
+// Mesh connects an instance to its peers.
+type Mesh struct {
+	cfg       Config
+	log       logrus.FieldLogger
+	metrics   metrics
+	transport *quic.Transport
+	handlers  map[Method]Handler
+	peers     map[unit.Instance]*peer
+
+	group errgroup.Group
+	ctx   context.Context
+	stop  context.CancelFunc
+	// done is closed when Run has returned.
+	done chan struct{}
+
+	mu      sync.Mutex
+	started bool
+}
+
+var _ Caller = (*Mesh)(nil)
+
+// New binds the mesh's address. Handlers are added next, then Run serves.
+func New(cfg Config) (*Mesh, error) {
+	if err := certifier.CheckName(cfg.Self); err != nil {
+		return nil, err
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = logger.Discard()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	addr, err := net.ResolveUDPAddr("udp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "mesh address %q", cfg.Listen)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "binding the mesh address")
+	}
+	m := &Mesh{
+		cfg:       cfg,
+		log:       cfg.Logger,
+		metrics:   newMetrics(cfg.Metrics),
+		transport: &quic.Transport{Conn: conn},
+		handlers:  map[Method]Handler{},
+		peers:     map[unit.Instance]*peer{},
+		done:      make(chan struct{}),
+	}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	for id, address := range cfg.Peers {
+		if id != cfg.Self {
+			m.peers[id] = newPeer(id, address)
+		}
+	}
+	return m, nil
+}
+
+// Handle sets the handler of a method, for calls and for one-way messages. It
+// is called before Run.
+func (m *Mesh) Handle(method Method, h Handler) {
+	m.handlers[method] = h
+}
+
+// Addr returns the address that the mesh is bound to.
+func (m *Mesh) Addr() string {
+	return m.transport.Conn.LocalAddr().String()
+}
+
+// Run serves and dials until ctx ends or Close is called, and returns once
+// every goroutine of the mesh has ended.
+func (m *Mesh) Run(ctx context.Context) error {
+	m.mu.Lock()
+	if m.started || m.ctx.Err() != nil {
+		m.mu.Unlock()
+		return errors.New("the mesh was started or closed before")
+	}
+	m.started = true
+	m.mu.Unlock()
+	defer close(m.done)
+	defer m.stop()
+	stopped := context.AfterFunc(ctx, m.stop)
+	defer stopped()
+
+	ln, err := m.transport.Listen(m.serverTLS(), m.quicConfig(0))
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "listening on the mesh"), m.release())
+	}
+	m.group.Go(func() error { return m.accept(ln) })
+	for _, p := range m.peers {
+		m.group.Go(func() error { return m.keepConnected(p) })
+		m.group.Go(func() error { return m.sendNotes(p) })
+	}
+	<-m.ctx.Done()
+	m.closeConnections()
+	err = errors.CombineErrors(ln.Close(), m.release())
+	return errors.CombineErrors(m.group.Wait(), err)
+}
+
+// Close ends the mesh and returns once Run has returned.
+func (m *Mesh) Close() error {
+	m.mu.Lock()
+	started := m.started
+	m.stop()
+	m.mu.Unlock()
+	if !started {
+		return m.release()
+	}
+	<-m.done
+	return nil
+}
+
+// release frees the address.
+func (m *Mesh) release() error {
+	err := m.transport.Close()
+	if closing := m.transport.Conn.Close(); !errors.Is(closing, net.ErrClosed) {
+		err = errors.CombineErrors(err, closing)
+	}
+	return err
+}
+
+// Reachable tells for each peer whether there is a connection to it now.
+func (m *Mesh) Reachable() map[unit.Instance]bool {
+	r := make(map[unit.Instance]bool, len(m.peers))
+	for id, p := range m.peers {
+		r[id] = p.live() != nil
+	}
+	return r
+}
+
+func (m *Mesh) quicConfig(alive time.Duration) *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  dialTimeout,
+		MaxIdleTimeout:        silence,
+		KeepAlivePeriod:       alive,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: maxUniStreams,
+	}
+}
+
+// serverTLS asks for the credentials of the moment at each connection.
+func (m *Mesh) serverTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			c := m.cfg.Credentials.ServerTLS()
+			c.NextProtos = []string{protocol}
+			return c, nil
+		},
+	}
+}
+
+func (m *Mesh) clientTLS(id unit.Instance) *tls.Config {
+	c := m.cfg.Credentials.ClientTLS(id)
+	c.NextProtos = []string{protocol}
+	return c
+}
+
+// metrics of the mesh.
+type metrics struct {
+	calls, callFailures, notes, notesDropped, dialFailures, refusedPeers tally.Counter
+}
+
+func newMetrics(s tally.Scope) metrics {
+	s = s.SubScope("mesh")
+	return metrics{
+		calls:        s.Counter("calls"),
+		callFailures: s.Counter("call_failures"),
+		notes:        s.Counter("notes"),
+		notesDropped: s.Counter("notes_dropped"),
+		dialFailures: s.Counter("dial_failures"),
+		refusedPeers: s.Counter("refused_peers"),
+	}
+}
--- /dev/null
+++ b/instance/mesh_test.go
@@ -0,0 +1,99 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const loopback = "127.0.0.1:0"
+
+// patience bounds the waits of tests; it is reached only on failure.
+const patience = 20 * time.Second
+
+// echo answers with the method's peer and the body.
+func echo(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
+	return fmt.Appendf(nil, "%s: %s", from, body), nil
+}
+
+// start runs a mesh until the test ends.
+func start(t testing.TB, creds certifier.Credentials, self unit.Instance, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+	t.Helper()
+	return startAt(t, creds, self, loopback, peers, handlers)
+}
+
+func startAt(t testing.TB, creds certifier.Credentials, self unit.Instance, listen string, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+	t.Helper()
+	m, err := instance.New(instance.Config{Self: self, Listen: listen, Peers: peers, Credentials: creds})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for method, h := range handlers {
+		m.Handle(method, h)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return m.Run(context.Background()) })
+	t.Cleanup(func() {
+		if err := errors.CombineErrors(m.Close(), group.Wait()); err != nil {
+			t.Error(err)
+		}
+	})
+	return m
+}
+
+func authority(t testing.TB) *certifier.Authority {
+	t.Helper()
+	a, err := certifier.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func credentials(t testing.TB, a *certifier.Authority, id unit.Instance) certifier.Credentials {
+	t.Helper()
+	c, err := a.Ephemeral(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestAnswersBelongToTheirCalls(t *testing.T) {
+	is := is.New(t)
+	ca := authority(t)
+	handlers := map[instance.Method]instance.Handler{"Echo": echo}
+	b := start(t, credentials(t, ca, "b"), "b", map[unit.Instance]string{"a": loopback}, handlers)
+	a := start(t, credentials(t, ca, "a"), "a", map[unit.Instance]string{"b": b.Addr()}, handlers)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var group errgroup.Group
+	for i := range 200 {
+		group.Go(func() error {
+			got, err := a.Call(ctx, "b", "Echo", fmt.Append(nil, i))
+			if want := fmt.Sprintf("a: %d", i); err == nil && string(got) != want {
+				return errors.Newf("got %q, want %q", got, want)
+			}
+			return err
+		})
+	}
+	is.NoErr(group.Wait())
+	got, err := b.Call(ctx, "a", "Echo", []byte("back over the same connection"))
+	is.NoErr(err)
+	is.Equal(string(got), "b: back over the same connection")
+	is.Equal(a.Reachable(), map[unit.Instance]bool{"b": true})
+}
