--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -212,26 +212,24 @@
 	if !known {
 		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "no such request is registered"}
 	}
+	if is[dispatcher.NotRun](c.Outcome) && rec.Intent.Task != "" {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "an upstream may have been asked to run the request"}
+	}
 	if rec.Open() {
 		r.st.Ended = append(r.st.Ended, c.Request)
 		rec.Outcome, rec.At = c.Outcome, c.At
-	} else if isUnknown(rec.Outcome) && isDone(c.Outcome) {
+	} else if is[dispatcher.Unknown](rec.Outcome) && is[dispatcher.Done](c.Outcome) {
 		rec.Outcome = c.Outcome
 	}
 	r.st.Records[c.Request] = rec
 	return Registered{Record: rec}
 }
 
-func isUnknown(outcome []byte) bool {
-	o, err := dispatcher.UnmarshalOutcome(outcome)
-	_, is := o.(dispatcher.Unknown)
-	return err == nil && is
-}
-
-func isDone(outcome []byte) bool {
+// is reports whether an encoded outcome is of a type.
+func is[Type dispatcher.Outcome](outcome []byte) bool {
 	o, err := dispatcher.UnmarshalOutcome(outcome)
-	_, is := o.(dispatcher.Done)
-	return err == nil && is
+	_, of := o.(Type)
+	return err == nil && of
 }
 
 func (r *Registrar) cancel(c CancelRequest) Result {
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -102,8 +102,9 @@
 }
 
 // EndRequest records the outcome of a request. The first outcome stands,
-// except that a Done replaces an Unknown. Result: Registered with the outcome
-// that stands.
+// except that a Done replaces an Unknown. A NotRun is rejected while an intent
+// is in force, since an upstream may have been asked. Result: Registered with
+// the outcome that stands.
 type EndRequest struct {
 	Request          unit.Request
 	AvailabilityZone unit.AvailabilityZone
--- /dev/null
+++ b/runner/edges.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+
+	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/loader"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/meter"
+	"github.com/chervilvane/chervilvane/platform"
+	"github.com/chervilvane/chervilvane/tracer"
+	"github.com/chervilvane/chervilvane/unit"
+	"github.com/chervilvane/chervilvane/upstream"
+)
+
+// tracerName names the daemon's spans.
+const tracerName = "github.com/chervilvane/chervilvane"
+
+func newLogger(s loader.Settings, o Options) (*logrus.Logger, logrus.FieldLogger) {
+	l := logger.New(s.Log, o.LogTo)
+	logger.CaptureStandard(l)
+	return l, l.WithFields(logrus.Fields{"Instance": s.Instance, "AvailabilityZone": s.AvailabilityZone})
+}
+
+// meterPage is the scrape page of the metrics.
+type meterPage struct{ handler http.Handler }
+
+func newMeter(lc fx.Lifecycle) (tally.Scope, meterPage) {
+	scope, page, closer := meter.New()
+	lc.Append(fx.StopHook(closer.Close))
+	return scope, meterPage{page}
+}
+
+func newTracer(lc fx.Lifecycle, s loader.Settings) (trace.Tracer, error) {
+	provider, shutdown, err := tracer.New(s.Trace, s.Instance)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(func(ctx context.Context) error { return shutdown(ctx) }))
+	return provider.Tracer(tracerName), nil
+}
+
+func newCredentials(s loader.Settings, o Options) (certifier.Credentials, error) {
+	if o.Credentials != nil {
+		return o.Credentials, nil
+	}
+	return certifier.NewFiles(s.TLS.Authority, s.TLS.Certificate, s.TLS.Key)
+}
+
+func newMesh(s loader.Settings, creds certifier.Credentials, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) (*instance.Mesh, error) {
+	peers := map[unit.Instance]string{}
+	for _, p := range s.Peers {
+		peers[p.Instance] = p.Mesh
+	}
+	return instance.New(instance.Config{
+		Self: s.Instance, Listen: s.Listen.Mesh, Peers: peers, Credentials: creds,
+		Clock: clk, Logger: l, Metrics: m.SubScope("mesh"), Tracer: t,
+	})
+}
+
+func newUpstreams(l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *upstream.Client {
+	return upstream.NewClient(upstream.ClientConfig{Logger: l, Metrics: m.SubScope("upstream"), Tracer: t})
+}
+
+func newHealth() *platform.Health { return new(platform.Health) }
--- /dev/null
+++ b/runner/roles.go
@@ -0,0 +1,102 @@
+package runner
+
+import (
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+	"github.com/chervilvane/chervilvane/caller"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/elector"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/loader"
+	"github.com/chervilvane/chervilvane/operator"
+	"github.com/chervilvane/chervilvane/proposer"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/router"
+	"github.com/chervilvane/chervilvane/scheduler"
+	"github.com/chervilvane/chervilvane/unit"
+	"github.com/chervilvane/chervilvane/upstream"
+	"github.com/chervilvane/chervilvane/withdrawer"
+)
+
+func newState() *registrar.Registrar { return registrar.New() }
+
+func newAuthenticator(s loader.Settings, state *registrar.Registrar, l *log, clk clock.Clock) *authenticator.Authenticator {
+	return authenticator.New(authenticator.Config{
+		Keys: state, Clock: clk, FreshAt: l.freshAt, Freshness: s.Timing.KeyFreshness,
+	})
+}
+
+func newWithdrawer(s loader.Settings, keys *authenticator.Authenticator, p *proposer.Proposer, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger) *withdrawer.Withdrawer {
+	return withdrawer.New(withdrawer.Config{
+		Keys: keys, Propose: p.Propose, Call: mesh, Peers: others(s, ""), Clock: clk, Logger: l,
+	})
+}
+
+// others returns the other instances, of one zone or of all.
+func others(s loader.Settings, az unit.AvailabilityZone) []unit.Instance {
+	var found []unit.Instance
+	for _, p := range s.Peers {
+		if p.Instance != s.Instance && (az == "" || p.AvailabilityZone == az) {
+			found = append(found, p.Instance)
+		}
+	}
+	return found
+}
+
+func newElector(s loader.Settings, state *registrar.Registrar, lg *log, p *proposer.Proposer, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger, m tally.Scope) *elector.Elector {
+	return elector.New(elector.Config{
+		Instance: s.Instance, AvailabilityZone: s.AvailabilityZone, Peers: others(s, s.AvailabilityZone),
+		Clock: clk, State: state, Call: mesh, Leader: p.Leader, Propose: p.Propose,
+		Lease: s.Timing.ZoneLease, Lead: lg.lead, Logger: l, Metrics: m.SubScope("elector"),
+	})
+}
+
+func newScheduler(s loader.Settings, state *registrar.Registrar, p *proposer.Proposer, up *upstream.Client, e *elector.Elector, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *scheduler.Scheduler {
+	return scheduler.New(scheduler.Config{
+		Instance: s.Instance, AvailabilityZone: s.AvailabilityZone, Clock: clk, State: state,
+		Propose: p.Propose, Upstreams: up, Holder: e, TaskLease: s.Timing.TaskLease,
+		Logger: l, Metrics: m.SubScope("scheduler"), Tracer: t,
+	})
+}
+
+func newRouter(s loader.Settings, state *registrar.Registrar, local *scheduler.Scheduler, e *elector.Elector, keys *authenticator.Authenticator, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *router.Router {
+	return router.New(router.Config{
+		Self: s.Instance, AvailabilityZone: s.AvailabilityZone, State: state, Local: local, Holder: e,
+		Keys: keys, Call: mesh, Clock: clk, Logger: l, Metrics: m.SubScope("router"), Tracer: t,
+	})
+}
+
+func newCallerServer(r *router.Router, state *registrar.Registrar, keys *authenticator.Authenticator, l logrus.FieldLogger, t trace.Tracer) *caller.Server {
+	return caller.NewServer(caller.Config{Router: r, State: state, Keys: keys, Logger: l, Tracer: t})
+}
+
+func newOperatorServer(s loader.Settings, state *registrar.Registrar, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, v *versions, sched *scheduler.Scheduler, e *elector.Elector, clk clock.Clock, l logrus.FieldLogger, t trace.Tracer) *operator.Server {
+	return operator.NewServer(operator.Config{
+		Self: s.Instance, AvailabilityZone: s.AvailabilityZone, Operators: s.Operators, State: state,
+		Propose: p.Propose, Withdrawer: w, Running: v.all, Leader: p.Leader, FreshAt: lg.freshAt,
+		Scheduler: func() (unit.Epoch, scheduler.Status, bool) {
+			epoch, holding := e.MayStart(clk.Now())
+			return epoch, sched.Status(), holding
+		},
+		Clock: clk, Logger: l, Tracer: t,
+	})
+}
+
+// registerMethods ties the mesh's methods to the parts that serve them.
+func registerMethods(mesh *instance.Mesh, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, e *elector.Elector, r *router.Router, v *versions) {
+	mesh.Handle(proposer.Method, p.Handle)
+	mesh.Handle(withdrawer.Method, w.Handle)
+	mesh.Handle(methodVersion, v.handle)
+	lg.register(mesh)
+	for method, handler := range e.Handlers() {
+		mesh.Handle(method, handler)
+	}
+	for method, handler := range r.Handlers() {
+		mesh.Handle(method, handler)
+	}
+}
+
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,7 +19,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/chervilvane/chervilvane/clock"
-	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/certifier"
 	"github.com/chervilvane/chervilvane/loader"
 )
 
@@ -27,13 +27,18 @@
 type Options struct {
 	// Credentials authenticate the instance on the mesh; nil means the files
 	// that the settings name.
-	Credentials instance.Credentials
+	Credentials certifier.Credentials
 	// LogTo gets the structured log.
 	LogTo io.Writer
+	// Extra adds parts that a test or the development instance needs.
+	Extra fx.Option
 }
 
 // New returns the daemon as an fx application.
 func New(settings loader.Settings, opts Options) *fx.App {
+	if opts.Extra == nil {
+		opts.Extra = fx.Options()
+	}
 	return fx.New(
 		fx.Supply(settings, opts, clock.Clock{}),
 		fx.Provide(
@@ -45,6 +50,7 @@
 			newParts,
 		),
 		fx.Invoke(registerMethods, run),
+		opts.Extra,
 		fx.StopTimeout(settings.Timing.Drain.Duration()+stopGrace.Duration()),
 		fx.WithLogger(func(l *logrus.Logger) fxevent.Logger { return quietEvents{l} }),
 	)
