--- a/certifier/doc.go
+++ b/certifier/doc.go
@@ -11,7 +11,6 @@
 package certifier
 
 import (
-	"crypto/tls"
 	"regexp"
 	"time"
 
@@ -28,21 +27,6 @@
 	backdate = time.Hour
 )
 
-// Credentials authenticates an instance to its peers. The returned
-// configurations are those of the moment and are asked for once per
-// connection.
-type Credentials interface {
-	// ServerTLS returns the configuration for accepting connections; a peer
-	// needs a certificate of the authority.
-	ServerTLS() *tls.Config
-	// ClientTLS returns the configuration for connecting to a peer; the peer
-	// must present its own name.
-	ClientTLS(peer unit.Instance) *tls.Config
-	// Verify checks a certificate chain of an established connection against
-	// the authority of the moment and returns the instance it names.
-	Verify(state tls.ConnectionState) (unit.Instance, error)
-}
-
 // instanceName is the form of an instance's name: one label of a DNS name.
 var instanceName = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9-]{0,61}[A-Za-z0-9])?$`)
 
--- a/certifier/files.go
+++ b/certifier/files.go
@@ -41,17 +41,17 @@
 	return f, nil
 }
 
-// ServerTLS implements Credentials.
+// ServerTLS implements instance.Credentials.
 func (f *Files) ServerTLS() *tls.Config {
 	return f.current().serverTLS()
 }
 
-// ClientTLS implements Credentials.
+// ClientTLS implements instance.Credentials.
 func (f *Files) ClientTLS(peer unit.Instance) *tls.Config {
 	return f.current().clientTLS(peer)
 }
 
-// Verify implements Credentials.
+// Verify implements instance.Credentials.
 func (f *Files) Verify(state tls.ConnectionState) (unit.Instance, error) {
 	return f.current().verify(state)
 }
@@ -133,18 +133,13 @@
 	return &Ephemeral{now: now}, nil
 }
 
-// ServerTLS implements Credentials.
+// ServerTLS implements instance.Credentials.
 func (e *Ephemeral) ServerTLS() *tls.Config { return e.now.serverTLS() }
 
-// ClientTLS implements Credentials.
+// ClientTLS implements instance.Credentials.
 func (e *Ephemeral) ClientTLS(peer unit.Instance) *tls.Config { return e.now.clientTLS(peer) }
 
-// Verify implements Credentials.
+// Verify implements instance.Credentials.
 func (e *Ephemeral) Verify(state tls.ConnectionState) (unit.Instance, error) {
 	return e.now.verify(state)
 }
-
-var (
-	_ Credentials = (*Files)(nil)
-	_ Credentials = (*Ephemeral)(nil)
-)
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -48,6 +48,26 @@
 	codeMalformed quic.StreamErrorCode      = 2
 )
 
+// Credentials authenticates an instance to its peers; certifier.Files and
+// certifier.Ephemeral implement it. The returned configurations are those of
+// the moment: the mesh asks for them once per connection.
+type Credentials interface {
+	// ServerTLS returns the configuration for accepting connections; a peer
+	// needs a certificate of the authority.
+	ServerTLS() *tls.Config
+	// ClientTLS returns the configuration for connecting to a peer; the peer
+	// must present its own name.
+	ClientTLS(peer unit.Instance) *tls.Config
+	// Verify checks the peer's certificate of an established connection
+	// against the authority of the moment and returns the instance it names.
+	Verify(state tls.ConnectionState) (unit.Instance, error)
+}
+
+var (
+	_ Credentials = (*certifier.Files)(nil)
+	_ Credentials = (*certifier.Ephemeral)(nil)
+)
+
 // Config of a Mesh. Logger, Metrics and Tracer may be nil.
 type Config struct {
 	Self unit.Instance
@@ -56,7 +76,7 @@
 	// Peers holds the mesh address of each instance of the fleet. An entry for
 	// Self is ignored.
 	Peers       map[unit.Instance]string
-	Credentials certifier.Credentials
+	Credentials Credentials
 	Clock       clock.Clock
 	Logger      logrus.FieldLogger
 	Metrics     tally.Scope
--- a/instance/mesh_test.go
+++ b/instance/mesh_test.go
@@ -31,12 +31,12 @@
 }
 
 // start runs a mesh until the test ends.
-func start(t testing.TB, creds certifier.Credentials, self unit.Instance, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+func start(t testing.TB, creds instance.Credentials, self unit.Instance, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
 	t.Helper()
 	return startAt(t, creds, self, loopback, peers, handlers)
 }
 
-func startAt(t testing.TB, creds certifier.Credentials, self unit.Instance, listen string, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+func startAt(t testing.TB, creds instance.Credentials, self unit.Instance, listen string, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
 	t.Helper()
 	m, err := instance.New(instance.Config{Self: self, Listen: listen, Peers: peers, Credentials: creds})
 	if err != nil {
@@ -64,7 +64,7 @@
 	return a
 }
 
-func credentials(t testing.TB, a *certifier.Authority, id unit.Instance) certifier.Credentials {
+func credentials(t testing.TB, a *certifier.Authority, id unit.Instance) instance.Credentials {
 	t.Helper()
 	c, err := a.Ephemeral(id)
 	if err != nil {
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,157 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/tracer"
+)
+
+const (
+	// maxConnections bounds the connections to one upstream.
+	maxConnections = 64
+	// maxIdleConnections bounds the connections to all upstreams that are kept
+	// without a call; each costs about 10 kB.
+	maxIdleConnections = 512
+	idleTimeout        = 90 * time.Second
+	dialTimeout        = 2 * time.Second
+	tcpKeepAlive       = 15 * time.Second
+	bufferSize         = 2 << 10
+)
+
+// ClientConfig of a Client. Metrics and Tracer may be nil.
+type ClientConfig struct {
+	Metrics tally.Scope
+	Tracer  trace.Tracer
+}
+
+// Client sends orders to upstreams.
+type Client struct {
+	cfg       ClientConfig
+	transport *http.Transport
+	http      *http.Client
+	orders    tally.Counter
+	failures  tally.Counter
+	notSent   tally.Counter
+}
+
+// NewClient returns a Client without connections.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxConnections,
+		MaxIdleConns:        maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		WriteBufferSize:     bufferSize,
+		ReadBufferSize:      bufferSize,
+	}
+	scope := cfg.Metrics.SubScope("upstream")
+	return &Client{
+		cfg:       cfg,
+		transport: transport,
+		http: &http.Client{
+			Transport: transport,
+			// Following a redirect would send the order a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		orders:   scope.Counter("orders"),
+		failures: scope.Counter("order_failures"),
+		notSent:  scope.Counter("orders_not_sent"),
+	}
+}
+
+// Start asks the upstream at address to run a task. The error is a
+// *dispatcher.NotSentError only if the order surely never reached it.
+func (c *Client) Start(ctx context.Context, address string, o dispatcher.StartOrder) (dispatcher.StartReply, error) {
+	ctx, span := tracer.StartChild(ctx, c.cfg.Tracer, "upstream start", trace.WithSpanKind(trace.SpanKindClient))
+	reply, err := c.start(ctx, address, o)
+	tracer.End(span, err)
+	return reply, err
+}
+
+func (c *Client) start(ctx context.Context, address string, o dispatcher.StartOrder) (dispatcher.StartReply, error) {
+	body, sent, err := c.post(ctx, address, StartPath, o)
+	if err != nil {
+		if !sent {
+			c.notSent.Inc(1)
+			return nil, &dispatcher.NotSentError{Task: o.Task, Cause: err}
+		}
+		return nil, errors.Wrapf(err, "starting task %s at %s", o.Task, address)
+	}
+	reply, err := DecodeStartReply(body)
+	return reply, errors.Wrapf(err, "reply of %s", address)
+}
+
+// Stop asks the upstream at address to stop a task. That the task has ended is
+// told by a later report.
+func (c *Client) Stop(ctx context.Context, address string, o dispatcher.StopOrder) error {
+	ctx, span := tracer.StartChild(ctx, c.cfg.Tracer, "upstream stop", trace.WithSpanKind(trace.SpanKindClient))
+	_, _, err := c.post(ctx, address, StopPath, o)
+	tracer.End(span, err)
+	return errors.Wrapf(err, "stopping task %s at %s", o.Task, address)
+}
+
+// Close closes the connections without a call.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// post sends one order. Sent is false only if the upstream can't have got it.
+func (c *Client) post(ctx context.Context, address, path string, order any) (reply []byte, sent bool, err error) {
+	c.orders.Inc(1)
+	defer func() {
+		if err != nil {
+			c.failures.Inc(1)
+		}
+	}()
+	body, err := json.Marshal(order)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "encoding an order")
+	}
+	if len(body) > MaxOrder {
+		return nil, false, errors.Newf("an order of %d bytes is too long", len(body))
+	}
+	var used usage
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "making an order's request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	tracer.InjectHTTP(ctx, req.Header)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, used.wrote(), err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply, err = readBounded(resp.Body, MaxReply)
+	if err != nil {
+		return nil, true, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, true, errors.Newf("status %s: %.200s", resp.Status, reply)
+	}
+	return reply, true, nil
+}
--- /dev/null
+++ b/upstream/handler.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/tracer"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// ReportFunc takes a report to the scheduler of the upstream's zone.
+type ReportFunc func(ctx context.Context, r dispatcher.Report) (dispatcher.ReportReply, error)
+
+// Handler serves the reports of upstreams. A report that is malformed gets
+// 400, one that is too long 413; one that didn't reach a scheduler gets 503,
+// and the upstream turns to another entry instance.
+func Handler(report ReportFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			w.Header().Set("Allow", http.MethodPost)
+			refuse(w, http.StatusMethodNotAllowed, errors.New("reports are sent with POST"))
+			return
+		}
+		data, err := readBounded(http.MaxBytesReader(w, r.Body, MaxReport), MaxReport)
+		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+			refuse(w, http.StatusRequestEntityTooLarge, err)
+			return
+		}
+		if err != nil {
+			refuse(w, http.StatusBadRequest, err)
+			return
+		}
+		rep, err := DecodeReport(data)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, err)
+			return
+		}
+		reply, err := report(tracer.ExtractHTTP(r.Context(), r.Header), rep)
+		if err != nil {
+			refuse(w, http.StatusServiceUnavailable, err)
+			return
+		}
+		respond(w, http.StatusOK, reply)
+	})
+}
+
+// DecodeReport decodes and checks a report.
+func DecodeReport(data []byte) (dispatcher.Report, error) {
+	var r dispatcher.Report
+	if err := decodeStrictly(data, &r); err != nil {
+		return dispatcher.Report{}, err
+	}
+	return r, check(r)
+}
+
+// check refuses a report that the scheduler could not act on.
+func check(r dispatcher.Report) error {
+	switch {
+	case r.Upstream == "":
+		return errors.New("Upstream is missing")
+	case r.Incarnation == "":
+		return errors.New("Incarnation is missing")
+	case r.AvailabilityZone == "":
+		return errors.New("AvailabilityZone is missing")
+	case r.Address == "":
+		return errors.New("Address is missing")
+	case anyNegative(r.Holds.Vector()):
+		return errors.New("Holds has a negative amount")
+	}
+	for i, t := range r.Running {
+		if t.Task == "" {
+			return errors.Newf("Running[%d].Task is missing", i)
+		}
+		if anyNegative(t.Need.Vector()) || anyNegative(t.Usage.Vector()) {
+			return errors.Newf("Running[%d] has a negative amount", i)
+		}
+	}
+	for i, t := range r.Ended {
+		if t.Task == "" {
+			return errors.Newf("Ended[%d].Task is missing", i)
+		}
+	}
+	return nil
+}
+
+func anyNegative(v [unit.Dimensions]int64) bool {
+	for _, n := range v {
+		if n < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func refuse(w http.ResponseWriter, status int, err error) {
+	respond(w, status, struct{ Reason, Detail string }{http.StatusText(status), err.Error()})
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
