commander, fetcher, caller, operator: the command line and its clients

Cause: operators and callers need a way in that tells the truth about a lost answer. Change: fetcher resends to several addresses and keeps the doubt of a lost answer; caller.Client and operator.Client turn it into Unknown outcomes and DoubtErrors; commander prints results and returns exit statuses.

--- /dev/null
+++ b/cmd/chervilvane/main.go
@@ -0,0 +1,40 @@
+// Command chervilvane is the command line of operators and callers.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/chervilvane/chervilvane/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	c := commander.New(commander.Config{
+		In:      os.Stdin,
+		Out:     os.Stdout,
+		Err:     os.Stderr,
+		Getenv:  os.Getenv,
+		Version: version(),
+	})
+	status := c.Run(ctx, os.Args[1:])
+	stop()
+	os.Exit(int(status))
+}
+
+// version names the build by its module version or its revision.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/commander/apply.go
@@ -0,0 +1,171 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/operator"
+	"github.com/chervilvane/chervilvane/parser"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// applyFlags are the flags of the command apply.
+type applyFlags struct {
+	base    int64
+	id      string
+	wait    bool
+	timeout time.Duration
+}
+
+// noBase is the -base that stands for the version in force.
+const noBase = -1
+
+// DefaultWait bounds the wait of apply -wait.
+const DefaultWait = 30 * clock.Second
+
+func (c *Commander) applyCommand() *ffcli.Command {
+	o, t, a := output{c: c}, target{c: c}, applyFlags{}
+	flags := c.flagSet("apply")
+	o.register(flags)
+	t.register(flags)
+	flags.Int64Var(&a.base, "base", noBase, "the version that the text replaces (default the version in force)")
+	flags.StringVar(&a.id, "id", "", "id of this change, to resend one whose answer was lost")
+	flags.BoolVar(&a.wait, "wait", false, "wait until every instance runs the new version")
+	flags.DurationVar(&a.timeout, "timeout", DefaultWait.Duration(), "bound on the wait")
+	return &ffcli.Command{
+		Name:       "apply",
+		ShortUsage: "chervilvane apply [-base N] [-wait] [flags] TEXT",
+		ShortHelp:  "Put a text in force, if the version that it replaces still is",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			files, err := parseArgs(flags, args, "TEXT")
+			if err != nil {
+				return err
+			}
+			return c.apply(ctx, &o, &t, a, files[0])
+		},
+	}
+}
+
+func (c *Commander) apply(ctx context.Context, o *output, t *target, a applyFlags, file string) error {
+	text, err := c.readFile(file)
+	if err != nil {
+		return err
+	}
+	if _, findings := parser.Parse(file, text); len(findings) > 0 {
+		return o.printFindings(findings)
+	}
+	f, err := t.fetcher()
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	client := operator.NewClient(f)
+	base, err := a.chooseBase(ctx, client)
+	if err != nil {
+		return err
+	}
+	if a.id == "" {
+		a.id = uuid.NewString()
+	}
+	version, err := client.Apply(ctx, base, a.id, text)
+	if err != nil {
+		return o.applyFailed(err, file, base, a.id)
+	}
+	if a.wait {
+		if err := c.waitForVersion(ctx, o, client, version, a.timeout); err != nil {
+			return err
+		}
+	}
+	return o.print(struct{ Version unit.Version }{version}, func(w io.Writer) {
+		fmt.Fprintf(w, "version %d\n", version)
+	})
+}
+
+func (a applyFlags) chooseBase(ctx context.Context, client *operator.Client) (unit.Version, error) {
+	if a.base > noBase {
+		return unit.Version(a.base), nil
+	}
+	if a.base < noBase {
+		return 0, usagef("-base must be a version, 0 for none")
+	}
+	version, _, err := client.Show(ctx)
+	return version, err
+}
+
+// applyFailed prints what is known of a change that wasn't accepted.
+func (o *output) applyFailed(err error, file string, base unit.Version, id string) error {
+	var findings *operator.FindingsError
+	var conflict *operator.ConflictError
+	var doubt *operator.DoubtError
+	switch {
+	case errors.As(err, &findings):
+		for i := range findings.Findings {
+			findings.Findings[i].File = file
+		}
+		return o.printFindings(findings.Findings)
+	case errors.As(err, &conflict):
+		printErr := o.print(conflict, func(w io.Writer) { fmt.Fprintln(w, conflict) })
+		return errors.CombineErrors(printErr, &exitError{StatusNotDone})
+	case errors.As(err, &doubt):
+		o.note("resend the same text with: chervilvane apply -base %d -id %s %s", base, id, file)
+	}
+	return err
+}
+
+// pollInterval is the wait between two looks at the running versions.
+const pollInterval = 200 * clock.Millisecond
+
+// waitForVersion returns once every instance runs a version.
+func (c *Commander) waitForVersion(ctx context.Context, o *output, client *operator.Client, version unit.Version, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	interval := pollInterval
+	if c.c.Backoff > 0 {
+		interval = c.c.Backoff
+	}
+	ticker := time.NewTicker(interval.Duration())
+	defer ticker.Stop()
+	var behind []string
+	for {
+		instances, err := client.Running(ctx)
+		if err == nil {
+			behind = listBehind(instances, version)
+			if len(behind) == 0 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			o.note("version %d is accepted, but not known to be in force at: %s", version, strings.Join(behind, ", "))
+			return &exitError{StatusNotDone}
+		case <-ticker.C:
+		}
+	}
+}
+
+// listBehind names the instances that don't run a version. An empty list of
+// instances is no proof that all run it.
+func listBehind(instances []operator.RunningVersion, version unit.Version) []string {
+	if len(instances) == 0 {
+		return []string{"all instances"}
+	}
+	var behind []string
+	for _, i := range instances {
+		switch {
+		case !i.Reachable:
+			behind = append(behind, string(i.Instance)+" (unreachable)")
+		case i.Version < version:
+			behind = append(behind, fmt.Sprintf("%s (version %d)", i.Instance, i.Version))
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/commander/request.go
@@ -0,0 +1,149 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/chervilvane/chervilvane/caller"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// submitFlags are the flags of the command submit.
+type submitFlags struct {
+	queue      string
+	data       string
+	file       string
+	id         string
+	repeatable bool
+	async      bool
+	timeout    time.Duration
+}
+
+func (c *Commander) submitCommand() *ffcli.Command {
+	o, t, s := &output{c: c}, &target{c: c}, &submitFlags{}
+	flags := c.flagSet("submit")
+	o.register(flags)
+	t.register(flags)
+	flags.StringVar(&s.queue, "queue", "", "queue that takes the request")
+	flags.StringVar(&s.data, "data", "", "data of the request")
+	flags.StringVar(&s.file, "file", "", "file with the data of the request, - for standard input")
+	flags.StringVar(&s.id, "id", "", "id of the request, to resend one whose answer was lost (default a new id)")
+	flags.BoolVar(&s.repeatable, "repeatable", false, "the work may be run again after an attempt whose end isn't known")
+	flags.BoolVar(&s.async, "async", false, "return once the request is accepted; fetch its result later")
+	flags.DurationVar(&s.timeout, "timeout", caller.DefaultTimeout.Duration(), "deadline of the request")
+	return &ffcli.Command{
+		Name:       "submit",
+		ShortUsage: "chervilvane submit -queue QUEUE [-data DATA] [flags]",
+		ShortHelp:  "Submit a request and print its answer",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := wantArgs(flags, args); err != nil {
+				return err
+			}
+			if err := required(flags, "queue"); err != nil {
+				return err
+			}
+			return c.submit(ctx, o, t, s)
+		},
+	}
+}
+
+func (c *Commander) submit(ctx context.Context, o *output, t *target, s *submitFlags) error {
+	if s.timeout <= 0 || clock.FromDuration(s.timeout) > caller.MaxTimeout {
+		return usagef("-timeout must be above 0 and at most %v", caller.MaxTimeout.Duration())
+	}
+	data, err := c.requestData(s)
+	if err != nil {
+		return err
+	}
+	return t.withCaller(func(client *caller.Client) error {
+		id, reply, err := client.Submit(ctx, caller.ClientRequest{
+			Queue: unit.Queue(s.queue), ID: s.id, Data: data, Repeatable: s.repeatable,
+			Timeout: clock.FromDuration(s.timeout), Async: s.async,
+		})
+		if err != nil {
+			return err
+		}
+		return o.printReply(id, reply)
+	})
+}
+
+func (c *Commander) requestData(s *submitFlags) ([]byte, error) {
+	if s.file == "" {
+		return []byte(s.data), nil
+	}
+	if s.data != "" {
+		return nil, usagef("give -data or -file, not both")
+	}
+	in := c.c.In
+	if s.file != "-" {
+		file, err := os.Open(s.file)
+		if err != nil {
+			return nil, usagef("%v", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	data, err := io.ReadAll(io.LimitReader(in, caller.MaxBody+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the data")
+	}
+	if len(data) > caller.MaxBody {
+		return nil, usagef("the data is larger than a request may be (%d bytes)", caller.MaxBody)
+	}
+	return data, nil
+}
+
+// withCaller calls f with a client of the target.
+func (t *target) withCaller(f func(*caller.Client) error) error {
+	fetcher, err := t.fetcher()
+	if err != nil {
+		return err
+	}
+	defer fetcher.Close()
+	return f(caller.NewClient(fetcher))
+}
+
+func (c *Commander) resultCommand() *ffcli.Command {
+	return c.stateCommand("result", "Print what became of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
+		return client.Result(ctx, id)
+	})
+}
+
+func (c *Commander) cancelCommand() *ffcli.Command {
+	return c.stateCommand("cancel", "Ask for the end of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
+		return client.Cancel(ctx, id)
+	})
+}
+
+func (c *Commander) stateCommand(name, help string, ask func(context.Context, *caller.Client, string) (caller.Reply, error)) *ffcli.Command {
+	o, t := &output{c: c}, &target{c: c}
+	flags := c.flagSet(name)
+	o.register(flags)
+	t.register(flags)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "chervilvane " + name + " [flags] ID",
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, args []string) error {
+			ids, err := parseArgs(flags, args, "ID")
+			if err != nil {
+				return err
+			}
+			return t.withCaller(func(client *caller.Client) error {
+				reply, err := ask(ctx, client, ids[0])
+				if err != nil {
+					return err
+				}
+				return o.printReply(ids[0], reply)
+			})
+		},
+	}
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+	"github.com/chervilvane/chervilvane/fetcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Client does what an operator may do. Every change is resent under the same
+// id after a lost answer, also to another instance.
+//
+// The errors of its methods are a *fetcher.UnreachableError, a *RefusedError,
+// a *FindingsError, a *ConflictError or a *DoubtError.
+type Client struct{ f *fetcher.Fetcher }
+
+// NewClient returns a Client.
+func NewClient(f *fetcher.Fetcher) *Client { return &Client{f: f} }
+
+// callTimeout bounds a call, resends included. It is a few times the server's
+// own bound on the log, so that a resend can outlast an election.
+const callTimeout = 3 * proposeTimeout
+
+// Apply replaces the version base by a text and returns the new version. A
+// resend with the same id gets the first answer.
+func (c *Client) Apply(ctx context.Context, base unit.Version, id string, text []byte) (unit.Version, error) {
+	query := url.Values{"base": {strconv.FormatUint(uint64(base), 10)}, "id": {id}}
+	var body struct{ Version unit.Version }
+	err := c.call(ctx, fetcher.Request{
+		Method: http.MethodPut, Path: "/v1/config?" + query.Encode(), ContentType: "application/yaml", Body: text,
+	}, &body)
+	return body.Version, err
+}
+
+// Show returns the version in force and its text.
+func (c *Client) Show(ctx context.Context) (unit.Version, string, error) {
+	var body struct {
+		Version unit.Version
+		Text    string
+	}
+	err := c.get(ctx, "/v1/config", &body)
+	return body.Version, body.Text, err
+}
+
+// HistoryLine is one accepted configuration.
+type HistoryLine = historyLine
+
+// History returns the accepted configurations.
+func (c *Client) History(ctx context.Context) ([]HistoryLine, error) {
+	var body struct{ History []HistoryLine }
+	err := c.get(ctx, "/v1/config/history", &body)
+	return body.History, err
+}
+
+// Running returns the version that each instance runs.
+func (c *Client) Running(ctx context.Context) ([]RunningVersion, error) {
+	var body struct{ Instances []RunningVersion }
+	err := c.get(ctx, "/v1/config/running", &body)
+	return body.Instances, err
+}
+
+// GrantKey makes a token valid for a client account of a team. Only the hash
+// of its secret is sent.
+func (c *Client) GrantKey(ctx context.Context, t authenticator.Token, account unit.ClientAccount, team unit.Team) error {
+	body, err := json.Marshal(grantBody{
+		Key: t.ID, Hash: hex.EncodeToString(t.Hash()), Account: account, Team: team,
+	})
+	if err != nil {
+		panic(err)
+	}
+	var state struct{ State string }
+	return c.call(ctx, fetcher.Request{
+		Method: http.MethodPost, Path: "/v1/keys", ContentType: "application/json", Body: body,
+	}, &state)
+}
+
+// WithdrawKey ends a key for good. It reports whether the withdrawal is in the
+// log; if not, an instance has taken it and is spreading it.
+func (c *Client) WithdrawKey(ctx context.Context, id authenticator.KeyID) (logged bool, err error) {
+	var state struct{ State string }
+	err = c.call(ctx, fetcher.Request{Method: http.MethodDelete, Path: "/v1/keys/" + url.PathEscape(string(id))}, &state)
+	return state.State == "Withdrawn", err
+}
+
+// KeyLine is one key as operators see it: without its hash.
+type KeyLine = keyLine
+
+// Keys returns the granted and withdrawn keys.
+func (c *Client) Keys(ctx context.Context) ([]KeyLine, error) {
+	var body struct{ Keys []KeyLine }
+	err := c.get(ctx, "/v1/keys", &body)
+	return body.Keys, err
+}
+
+// Status returns the JSON object that an instance tells of itself.
+func (c *Client) Status(ctx context.Context) (json.RawMessage, error) {
+	var body json.RawMessage
+	err := c.get(ctx, "/v1/status", &body)
+	return body, err
+}
+
+func (c *Client) get(ctx context.Context, path string, into any) error {
+	return c.call(ctx, fetcher.Request{Method: http.MethodGet, Path: path}, into)
+}
+
+// call sends one request until an instance has served or refused it.
+func (c *Client) call(ctx context.Context, r fetcher.Request, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	a, err := c.f.Fetch(ctx, fetcher.Call{Build: func() fetcher.Request { return r }, Judge: judge})
+	var unreachable *fetcher.UnreachableError
+	changes := r.Method != http.MethodGet
+	switch {
+	case changes && errors.As(err, &unreachable) && unreachable.Delivered():
+		return &DoubtError{Detail: unreachable.Error()}
+	case err != nil:
+		return err
+	case a.Status == http.StatusOK || a.Status == http.StatusAccepted:
+		return errors.Wrapf(json.Unmarshal(a.Body, into), "the answer of %s can't be read", a.Address)
+	}
+	return toError(a, changes)
+}
+
+// judge resends what an instance couldn't serve now, and what got an answer
+// that isn't JSON, like the error page of a balancer.
+func judge(a fetcher.Answer) fetcher.Verdict {
+	switch {
+	case !json.Valid(a.Body):
+		return fetcher.Lost
+	case a.Status == http.StatusServiceUnavailable:
+		return fetcher.Declined
+	default:
+		return fetcher.Final
+	}
+}
--- /dev/null
+++ b/operator/clienterror.go
@@ -0,0 +1,84 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/decoder"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/fetcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// RefusedError is a request that an instance refused.
+type RefusedError struct {
+	Status  int
+	Refusal dispatcher.Refusal
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s: %s; %s", e.Refusal.Reason, e.Refusal.Detail, e.Refusal.Remedy)
+}
+
+// ConflictError says that another configuration took the place of the base
+// version.
+type ConflictError struct {
+	Version  unit.Version
+	Operator string
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("version %d of operator %s is in force; nothing was applied", e.Version, e.Operator)
+}
+
+// FindingsError says that a text was refused.
+type FindingsError struct{ Findings []decoder.Finding }
+
+// Error implements error.
+func (e *FindingsError) Error() string {
+	return fmt.Sprintf("the text has %d findings; nothing was applied", len(e.Findings))
+}
+
+// DoubtError says that a change may or may not have been accepted. A resend
+// with the same id settles it.
+type DoubtError struct{ Detail string }
+
+// Error implements error.
+func (e *DoubtError) Error() string {
+	return "the change may or may not be accepted: " + e.Detail
+}
+
+// problem is the body of any refusal.
+type problem struct {
+	Reason           string
+	Detail           string
+	Remedy           string
+	RetryAfterMillis clock.Millis
+	Version          unit.Version
+	Operator         string
+	Findings         []decoder.Finding
+}
+
+// toError turns a refusal into its error. After a lost answer, or one that
+// says that the log didn't answer, a change may have been accepted.
+func toError(a fetcher.Answer, changes bool) error {
+	var p problem
+	if err := json.Unmarshal(a.Body, &p); err != nil {
+		p.Detail = fmt.Sprintf("%s answered with status %d", a.Address, a.Status)
+	}
+	switch {
+	case a.Status == http.StatusUnprocessableEntity && len(p.Findings) > 0:
+		return &FindingsError{Findings: p.Findings}
+	case a.Status == http.StatusConflict && p.Reason == "":
+		return &ConflictError{Version: p.Version, Operator: p.Operator}
+	case changes && (a.Doubtful || a.Status >= http.StatusInternalServerError):
+		return &DoubtError{Detail: p.Detail}
+	}
+	return &RefusedError{Status: a.Status, Refusal: dispatcher.Refusal{
+		Reason: dispatcher.Reason(p.Reason), Detail: p.Detail, Remedy: p.Remedy, RetryAfter: p.RetryAfterMillis,
+	}}
+}
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -15,7 +15,7 @@
 	is.NoErr(err)
 	c, findings := Parse("whole.yaml", text)
 	is.Equal(len(findings), 0) // a valid text has no findings
-	q, ok := c.Queue("holds")
+	q, ok := c.FindQueue("holds")
 	is.True(ok)
 	is.Equal(q.Access, Keyed{})
 	is.Equal(q.Class, Interactive{})
