--- a/cmd/chervilvane/main.go
+++ b/cmd/chervilvane/main.go
@@ -19,6 +19,7 @@
 		Err:     os.Stderr,
 		Getenv:  os.Getenv,
 		Version: version(),
+		Certs:   certs,
 	})
 	status := c.Run(ctx, os.Args[1:])
 	stop()
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -12,6 +12,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +59,8 @@
 	mu sync.Mutex
 	// leader is the voter that last answered as the leader.
 	leader unit.Instance
+	// turn counts the calls of Next.
+	turn atomic.Uint32
 }
 
 // New returns a Proposer.
@@ -143,7 +146,7 @@
 func (p *Proposer) forward(ctx context.Context, to unit.Instance, command []byte) ([]byte, error) {
 	body, err := p.c.Call.Call(ctx, to, Method, command)
 	if err != nil {
-		p.forget(to)
+		p.Forget(to)
 		return nil, asLogError(err)
 	}
 	var r reply
@@ -152,7 +155,7 @@
 	}
 	switch {
 	case r.NotLeader:
-		p.forget(to)
+		p.Forget(to)
 		p.Learn(r.Leader)
 		return nil, &replicator.NotLeaderError{Leader: r.Leader}
 	case r.Unknown != "":
@@ -208,7 +211,8 @@
 	p.leader = leader
 }
 
-func (p *Proposer) forget(leader unit.Instance) {
+// Forget drops a voter that turned out not to lead.
+func (p *Proposer) Forget(leader unit.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.leader == leader {
@@ -225,9 +229,11 @@
 	return p.c.Voters[attempt%len(p.c.Voters)]
 }
 
-// Next returns the voter that the log should be followed at, starting over at
-// another one in each failed attempt.
-func (p *Proposer) Next(attempt int) unit.Instance { return p.target(attempt) }
+// Next returns the voter to follow the log at: the believed leader, or the
+// voters in turn while none is known.
+func (p *Proposer) Next() unit.Instance {
+	return p.target(int(p.turn.Add(1)))
+}
 
 // wait sleeps between attempts: exponential backoff with full jitter.
 func wait(ctx context.Context, attempt int) error {
--- a/runner/edges.go
+++ b/runner/edges.go
@@ -66,8 +66,8 @@
 	})
 }
 
-func newUpstreams(l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *upstream.Client {
-	return upstream.NewClient(upstream.ClientConfig{Logger: l, Metrics: m.SubScope("upstream"), Tracer: t})
+func newUpstreams(m tally.Scope, t trace.Tracer) *upstream.Client {
+	return upstream.NewClient(upstream.ClientConfig{Metrics: m.SubScope("upstream"), Tracer: t})
 }
 
 func newHealth() *platform.Health { return new(platform.Health) }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -43,7 +43,7 @@
 		fx.Supply(settings, opts, clock.Clock{}),
 		fx.Provide(
 			newLogger, newMeter, newTracer, newCredentials,
-			newMesh, newState, newLog, newProposer,
+			newMesh, newState, newLog,
 			newAuthenticator, newWithdrawer,
 			newElector, newUpstreams, newScheduler, newRouter,
 			newHealth, newVersions, newCallerServer, newOperatorServer, newHTTPServer,
