--- /dev/null
+++ b/recorder/fs.go
@@ -0,0 +1,96 @@
+package recorder
+
+import (
+	"io"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// FS is what a Recorder needs of a file system. Tests put one in its place
+// that crashes, tears writes and fails syncs.
+type FS interface {
+	MkdirAll(dir string) error
+	// List returns the names in a folder, in any order.
+	List(dir string) ([]string, error)
+	ReadFile(path string) ([]byte, error)
+	// Create makes or empties a file that is then written from its start.
+	Create(path string) (File, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncDir makes names that were created, renamed or removed durable.
+	SyncDir(dir string) error
+	// Lock takes an exclusive lock that ends with the process.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is a file that is being written.
+type File interface {
+	io.Writer
+	// Sync returns once all that was written is durable.
+	Sync() error
+	Close() error
+}
+
+// Disk is the file system of the machine.
+type Disk struct{}
+
+var _ FS = Disk{}
+
+// Permissions of what the Recorder makes: nobody else reads it.
+const (
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// MkdirAll implements FS.
+func (Disk) MkdirAll(dir string) error { return os.MkdirAll(dir, dirMode) }
+
+// List implements FS.
+func (Disk) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// ReadFile implements FS.
+func (Disk) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// Create implements FS.
+func (Disk) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+}
+
+// Rename implements FS.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (Disk) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir implements FS.
+func (Disk) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(d.Sync(), d.Close())
+}
+
+// Lock implements FS.
+func (Disk) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "another process uses it"), f.Close())
+	}
+	return f, nil
+}
