decoder: bound the search for the name that was meant

Cause: a text with thousands of missing names compared each of them with every known name, though only MaxFindings findings are kept. Change: RejectName searches only for findings that are kept.

--- a/decoder/finding.go
+++ b/decoder/finding.go
@@ -34,8 +34,10 @@
 	extra int
 }
 
+func (f *Findings) isFull() bool { return len(f.list) >= MaxFindings }
+
 func (f *Findings) add(line, column int, path, message string) {
-	if len(f.list) >= MaxFindings {
+	if f.isFull() {
 		f.extra++
 		return
 	}
--- a/decoder/nearest.go
+++ b/decoder/nearest.go
@@ -1,27 +1,29 @@
 package decoder
 
-import "strings"
+import (
+	"iter"
+	"strings"
+)
 
 // maxNearest bounds the length of the names that Nearest compares, since its
 // cost grows with the product of the lengths.
 const maxNearest = 64
 
 // Nearest returns the candidate that a misspelled name most likely means, or
-// an empty text if none is close. Candidates that are equally close are taken
-// in the given order.
-func Nearest(name string, candidates []string) string {
+// an empty text if none is close. Of equally close ones it is the first in
+// the order of the alphabet.
+func Nearest(name string, candidates iter.Seq[string]) string {
 	if name == "" || len(name) > maxNearest {
 		return ""
 	}
 	nearest, least := "", len(name)/3+1
-	for _, c := range candidates {
-		if strings.EqualFold(c, name) {
-			return c
-		}
-		if len(c) > maxNearest {
+	for c := range candidates {
+		// The difference of the lengths is a lower bound of the distance.
+		if len(c) > maxNearest || max(len(c)-len(name), len(name)-len(c)) > least {
 			continue
 		}
-		if d := distance(strings.ToLower(name), strings.ToLower(c)); d <= least && (nearest == "" || d < least) {
+		d := distance(strings.ToLower(name), strings.ToLower(c))
+		if d < least || d == least && (nearest == "" || c < nearest) {
 			nearest, least = c, d
 		}
 	}
--- a/decoder/quantity.go
+++ b/decoder/quantity.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/big"
 	"regexp"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -102,11 +101,7 @@
 		v.Reject("the value is %s, without a unit; want %s", brief(v.node.Value), s.want)
 		return
 	}
-	near := Nearest(name, slices.Sorted(maps.Keys(s.units)))
-	if near != "" {
-		near = "; did you mean " + near + "?"
-	}
-	v.Reject("the value is %s, whose unit is unknown; want %s%s", brief(v.node.Value), s.want, near)
+	v.RejectName(name, maps.Keys(s.units), "the value is %s, whose unit is unknown; want %s", brief(v.node.Value), s.want)
 }
 
 // multiply returns a decimal number times a factor, and whether the product is
--- a/decoder/scalar.go
+++ b/decoder/scalar.go
@@ -53,10 +53,7 @@
 	if slices.Contains(allowed, v.node.Value) {
 		return v.node.Value
 	}
-	if near := Nearest(v.node.Value, allowed); near != "" {
-		want += "; did you mean " + near + "?"
-	}
-	v.Reject("the value is %s; want %s", brief(v.node.Value), want)
+	v.RejectName(v.node.Value, slices.Values(allowed), "the value is %s; want %s", brief(v.node.Value), want)
 	return ""
 }
 
--- a/decoder/value.go
+++ b/decoder/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strconv"
@@ -40,6 +41,22 @@
 	v.found.add(v.node.Line, v.node.Column, v.path, fmt.Sprintf(format, args...))
 }
 
+// RejectName records a finding about a name that isn't one of the known ones,
+// and adds the one that was probably meant.
+func (v Value) RejectName(name string, known iter.Seq[string], format string, args ...any) {
+	if v.node == nil {
+		return
+	}
+	message := fmt.Sprintf(format, args...)
+	// The search is costly, so it is left out for findings that aren't kept.
+	if !v.found.isFull() {
+		if near := Nearest(name, known); near != "" {
+			message += "; did you mean " + near + "?"
+		}
+	}
+	v.Reject("%s", message)
+}
+
 // Fields says how each allowed field of an object is read.
 type Fields map[string]func(Value)
 
@@ -73,11 +90,7 @@
 
 func (v Value) rejectField(key *yaml.Node, allowed Fields) {
 	names := slices.Sorted(maps.Keys(allowed))
-	if near := Nearest(key.Value, names); near != "" {
-		v.Reject("unknown field; did you mean %s? allowed are %s", near, strings.Join(names, ", "))
-		return
-	}
-	v.Reject("unknown field; allowed are %s", strings.Join(names, ", "))
+	v.RejectName(key.Value, slices.Values(names), "unknown field; allowed are %s", strings.Join(names, ", "))
 }
 
 // List reads the items of a list in order.
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -69,12 +69,7 @@
 
 // rejectMissing records that a name isn't in the namespace.
 func (n names) rejectMissing(v decoder.Value, kind, name string) {
-	known := slices.Sorted(maps.Keys(n))
-	if near := decoder.Nearest(name, known); near != "" {
-		v.Reject("no %s is named %s; did you mean %s?", kind, name, near)
-		return
-	}
-	v.Reject("no %s is named %s", kind, name)
+	v.RejectName(name, maps.Keys(n), "no %s is named %s", kind, name)
 }
 
 func (r *reader) readZones(v decoder.Value) {
