--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 
+	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/parser"
@@ -110,24 +111,16 @@
 
 func (r *Registrar) grantKey(c GrantKey) Result {
 	r.tick(c.At)
-	old, known := r.st.Keys[c.Key]
-	if known && old.Withdrawn {
-		return Rejected{Reason: dispatcher.ReasonKeyRefused, Detail: "a withdrawn key can't be granted again"}
+	k := authenticator.Key{ID: c.Key, Hash: c.Hash, Account: c.Account, Team: c.Team, ChangedAt: c.At}
+	if err := r.st.Ring.Grant(k); err != nil {
+		return Rejected{Reason: dispatcher.ReasonKeyRefused, Detail: err.Error()}
 	}
-	if known && !(bytes.Equal(old.Hash, c.Hash) && old.Account == c.Account && old.Team == c.Team) {
-		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "the key id is taken"}
-	}
-	r.st.Keys[c.Key] = Key{ID: c.Key, Hash: c.Hash, Account: c.Account, Team: c.Team, ChangedAt: c.At}
 	return KeyGranted{}
 }
 
 func (r *Registrar) withdrawKey(c WithdrawKey) Result {
 	r.tick(c.At)
-	k := r.st.Keys[c.Key]
-	k.ID = c.Key
-	k.Withdrawn = true
-	k.ChangedAt = c.At
-	r.st.Keys[c.Key] = k
+	r.st.Ring.Withdraw(c.Key, c.At)
 	return KeyWithdrawn{}
 }
 
@@ -219,26 +212,24 @@
 	if !known {
 		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "no such request is registered"}
 	}
+	if is[dispatcher.NotRun](c.Outcome) && rec.Intent.Task != "" {
+		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "an upstream may have been asked to run the request"}
+	}
 	if rec.Open() {
 		r.st.Ended = append(r.st.Ended, c.Request)
 		rec.Outcome, rec.At = c.Outcome, c.At
-	} else if isUnknown(rec.Outcome) && isDone(c.Outcome) {
+	} else if is[dispatcher.Unknown](rec.Outcome) && is[dispatcher.Done](c.Outcome) {
 		rec.Outcome = c.Outcome
 	}
 	r.st.Records[c.Request] = rec
 	return Registered{Record: rec}
 }
 
-func isUnknown(outcome []byte) bool {
-	o, err := dispatcher.UnmarshalOutcome(outcome)
-	_, is := o.(dispatcher.Unknown)
-	return err == nil && is
-}
-
-func isDone(outcome []byte) bool {
+// is reports whether an encoded outcome is of a type.
+func is[Type dispatcher.Outcome](outcome []byte) bool {
 	o, err := dispatcher.UnmarshalOutcome(outcome)
-	_, is := o.(dispatcher.Done)
-	return err == nil && is
+	_, of := o.(Type)
+	return err == nil && of
 }
 
 func (r *Registrar) cancel(c CancelRequest) Result {
