queuer: hold capacity, limits, gangs and dependencies under any order of events

Change: a property that plays scripts of announcing, shrinking, losing and adopting upstreams, adding, ending, cancelling and measuring tasks, changed allotments and takeovers against an independent model. A dependant that waits in its lane is held back again if its work fails on a rerun; the property found that start (script before the change).

--- a/limiter/zone.go
+++ b/limiter/zone.go
@@ -8,7 +8,7 @@
 
 // Zone is one availability zone's spending of its allotments.
 type Zone struct {
-	teams map[unit.Team]*account
+	teams     map[unit.Team]*account
 	unchecked bool
 }
 
--- a/placer/cell.go
+++ b/placer/cell.go
@@ -30,9 +30,9 @@
 	racks map[unit.Work]map[unit.Rack]int
 	total unit.Resources
 	// freed lists the upstreams whose free room grew since TakeFreed.
-	freed  []unit.Upstream
-	shapes shapes
-	health health
+	freed     []unit.Upstream
+	shapes    shapes
+	health    health
 	unchecked bool
 }
 
--- a/queuer/decide.go
+++ b/queuer/decide.go
@@ -160,7 +160,8 @@
 	l.account.next++
 }
 
-// try starts the head of a lane if it can start now.
+// try starts the head of a lane if it can start now. It reports whether the
+// lane changed.
 func (q *Queuer) try(l *lane) bool {
 	if l.reserved {
 		return false
@@ -169,6 +170,9 @@
 		return q.tryGang(l)
 	}
 	w := l.first()
+	if !q.mayStart(w) {
+		return true
+	}
 	charge := q.charge(w.Task)
 	if !q.allotmentFits(l, charge, 1) {
 		if l.class == urgentClass {
--- a/queuer/depend.go
+++ b/queuer/depend.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"slices"
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
@@ -11,6 +12,7 @@
 
 // await queues a task, or keeps it until the work it depends on has settled.
 func (q *Queuer) await(w *waiting) {
+	w.unsettled = 0
 	for _, work := range w.After {
 		ok, settled := q.settled[work]
 		if settled && ok {
@@ -22,7 +24,7 @@
 			q.failed = append(q.failed, work)
 		}
 	}
-	if w.unsettled == 0 {
+	if w.unsettled == 0 || q.ignoreDependencies {
 		q.enqueue(w)
 		return
 	}
@@ -35,6 +37,7 @@
 	q.settled[work] = ok
 	if !ok {
 		q.failed = append(q.failed, work)
+		q.giveUpClaims(func(w *waiting) bool { return slices.Contains(w.After, work) })
 		return
 	}
 	ready := q.dependants[work]
@@ -49,6 +52,22 @@
 	}
 }
 
+// mayStart reports whether all that a task depends on has settled still. Work
+// that is run again may fail after it was done once; its dependants then wait
+// for the rejection.
+func (q *Queuer) mayStart(w *waiting) bool {
+	if q.ignoreDependencies || !q.lacksDependency(w) {
+		return true
+	}
+	q.dequeue(w, left)
+	q.await(w)
+	return false
+}
+
+func (q *Queuer) lacksDependency(w *waiting) bool {
+	return slices.ContainsFunc(w.After, func(work unit.Work) bool { return !q.settled[work] })
+}
+
 // rejectDependants ends the tasks whose dependency failed.
 func (q *Queuer) rejectDependants() {
 	for len(q.failed) > 0 {
--- a/queuer/gang.go
+++ b/queuer/gang.go
@@ -31,6 +31,11 @@
 		l.block = byGang
 		return false
 	}
+	for _, w := range tasks {
+		if !q.mayStart(w) {
+			return true
+		}
+	}
 	charge := q.charge(tasks[0].Task)
 	if !q.allotmentFits(l, charge, len(tasks)) {
 		return false
@@ -93,7 +98,7 @@
 // searchReservation gives the reservation, if it is free, to the group that
 // has its turn and has found no room for long enough.
 func (q *Queuer) searchReservation() {
-	if q.reservation != nil || !q.fair || q.now < q.searchedAt+searchTime {
+	if q.reservation != nil || !q.fair || q.noReservations || q.now < q.searchedAt+searchTime {
 		return
 	}
 	q.searchedAt = q.now
@@ -139,7 +144,7 @@
 func (q *Queuer) reserve(l *lane) {
 	l.reserveAt = q.now + patience
 	tasks := q.group(l)
-	if tasks == nil || !q.isPossible(l) {
+	if tasks == nil || !q.isPossible(l) || slices.ContainsFunc(tasks, q.lacksDependency) {
 		return
 	}
 	charge := q.charge(tasks[0].Task)
--- a/queuer/preempt.go
+++ b/queuer/preempt.go
@@ -151,7 +151,7 @@
 		if q.zone.OverOf(t.name).IsZero() {
 			continue
 		}
-		q.giveUpClaims(t)
+		q.giveUpClaims(func(w *waiting) bool { return w.Team == t.name })
 		over := q.zone.OverOf(t.name)
 		if over.IsZero() {
 			continue
@@ -161,12 +161,14 @@
 	}
 }
 
-func (q *Queuer) giveUpClaims(t *team) {
-	if q.reservation != nil && q.reservation.lane.team == t {
+// giveUpClaims lets the tasks that have claims and match wait in their lanes
+// again.
+func (q *Queuer) giveUpClaims(match func(*waiting) bool) {
+	if r := q.reservation; r != nil && slices.ContainsFunc(r.tasks, match) {
 		q.releaseReservation()
 	}
 	q.claims = slices.DeleteFunc(q.claims, func(w *waiting) bool {
-		if w.Team != t.name {
+		if !match(w) {
 			return false
 		}
 		q.unclaim(w)
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -95,9 +95,10 @@
 	since   clock.Millis
 	started bool
 
-	// partialGangs lets a test show that the properties notice a gang that
-	// starts in part.
-	partialGangs bool
+	// These let tests show that the properties notice a broken variant.
+	partialGangs       bool
+	ignoreDependencies bool
+	noReservations     bool
 
 	now  clock.Millis
 	most int
