--- a/runner/dev.go
+++ b/runner/dev.go
@@ -97,6 +97,9 @@
 	return settings, report(findings, stderr)
 }
 
+// devDrain bounds the stand-in upstream's wait for its tasks on shutdown.
+const devDrain = 2 * clock.Second
+
 // sampleTimeout bounds the wait for the first configuration.
 const sampleTimeout = 10 * clock.Second
 
@@ -115,7 +118,7 @@
 	w := worker.New(worker.Config{
 		ID: "stand-in", AvailabilityZone: devZone, Rack: "r1", Listen: devUpstream, Entries: []string{devAPI},
 		Holds: unit.Resources{CPU: 8 * unit.Core, Memory: 16 * unit.Gigabyte, Slots: 64, Connections: 64},
-		Clock: clk, Logger: logger.Discard(),
+		Clock: clk, Logger: logger.Discard(), Drain: devDrain,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
--- a/runner/edges.go
+++ b/runner/edges.go
@@ -48,14 +48,14 @@
 	return provider.Tracer(tracerName), nil
 }
 
-func newCredentials(s loader.Settings, o Options) (certifier.Credentials, error) {
+func newCredentials(s loader.Settings, o Options) (instance.Credentials, error) {
 	if o.Credentials != nil {
 		return o.Credentials, nil
 	}
 	return certifier.NewFiles(s.TLS.Authority, s.TLS.Certificate, s.TLS.Key)
 }
 
-func newMesh(s loader.Settings, creds certifier.Credentials, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) (*instance.Mesh, error) {
+func newMesh(s loader.Settings, creds instance.Credentials, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) (*instance.Mesh, error) {
 	peers := map[unit.Instance]string{}
 	for _, p := range s.Peers {
 		peers[p.Instance] = p.Mesh
--- a/runner/part.go
+++ b/runner/part.go
@@ -57,7 +57,7 @@
 	Log        *log
 	Elector    *elector.Elector
 	Scheduler  *scheduler.Scheduler
-	Logger     *logrus.Logger
+	Logger     logrus.FieldLogger
 	Shutdowner fx.Shutdowner
 }
 
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -99,4 +98,3 @@
 		mesh.Handle(method, handler)
 	}
 }
-
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,7 +19,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/chervilvane/chervilvane/clock"
-	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/instance"
 	"github.com/chervilvane/chervilvane/loader"
 )
 
@@ -27,7 +27,7 @@
 type Options struct {
 	// Credentials authenticate the instance on the mesh; nil means the files
 	// that the settings name.
-	Credentials certifier.Credentials
+	Credentials instance.Credentials
 	// LogTo gets the structured log.
 	LogTo io.Writer
 	// Extra adds parts that a test or the development instance needs.
