elector: choose the scheduler of a zone by leases, promises and tickets

The holder renews at the log's leader and collects promises from every other entry instance of its zone; either lets it start work. A takeover needs the leader's ticket, good for one lease time, so that a delayed or doubled Take can't be carried out after its sender promised not to take the zone.

Ruled out: treating a refused Take as decided; a doubled copy of it could still be carried out.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -10,6 +10,136 @@
 // granter from when it answered, and adds an allowance for clock drift: the
 // holder's view ends first.
 //
-// Machine and Granter are deterministic state machines. Elector drives a
-// Machine over the mesh; Leader serves a Granter on the log's leader.
+// Machine and Granter are deterministic state machines, for the two sides.
+// Elector drives both over the mesh.
 package elector
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Config of an Elector.
+type Config struct {
+	Instance         unit.Instance
+	AvailabilityZone unit.AvailabilityZone
+	// Peers are the other entry instances of the zone. All of them must be
+	// named: one that isn't asked for a promise can take the zone at any time.
+	Peers []unit.Instance
+	Clock clock.Clock
+	State *registrar.Registrar
+	Call  instance.Caller
+	// Leader returns the log's leader; empty when none is known.
+	Leader func() unit.Instance
+	// Propose commits a command wherever the log's leader is.
+	Propose func(ctx context.Context, c registrar.Command) (registrar.Result, error)
+	// ProposeHere commits a command if this instance leads the log, and must
+	// never pass it on to another leader: that one may have renewed the lease
+	// that this one saw lapse. It is nil on an instance without a vote.
+	ProposeHere func(ctx context.Context, c registrar.Command) (registrar.Result, error)
+	// Lead reports since when this instance leads the log. It is ok only with
+	// a valid leader lease and once everything committed before is applied. It
+	// is nil on an instance without a vote.
+	Lead    func() (since clock.Millis, ok bool)
+	Lease   clock.Millis
+	Logger  logrus.FieldLogger
+	Metrics tally.Scope
+}
+
+// Elector takes an instance's part in choosing the scheduler of its zone, and
+// serves the granter's side if the instance leads the log.
+type Elector struct {
+	c Config
+	// mu guards machine and the calls in progress.
+	mu      sync.Mutex
+	machine *Machine
+	calling map[call]bool
+	wake    chan struct{}
+
+	grantMu sync.Mutex
+	granter *Granter
+}
+
+// call is one kind of call to one instance. There is at most one at a time, so
+// that a hanging instance doesn't pile calls up.
+type call struct {
+	to     unit.Instance
+	method instance.Method
+}
+
+// New returns an Elector; Run starts it. It must be made before the log is
+// started, since it watches the state.
+func New(c Config) *Elector {
+	e := &Elector{
+		c:       c,
+		machine: NewMachine(c.Instance, c.AvailabilityZone, c.Peers, c.Lease, c.Clock.Now()),
+		calling: map[call]bool{},
+		wake:    make(chan struct{}, 1),
+		granter: NewGranter(c.Instance, c.Lease),
+	}
+	c.State.Subscribe(func(replicator.Index) { e.observe() })
+	e.observe()
+	return e
+}
+
+// observe gives the machine what the log says of the zone.
+func (e *Elector) observe() {
+	z := e.c.State.Zone(e.c.AvailabilityZone)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.machine.Observe(z)
+}
+
+// MayStart reports whether this instance may start work in its zone at now,
+// and under which epoch.
+func (e *Elector) MayStart(now clock.Millis) (unit.Epoch, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.MayStart(now)
+}
+
+// Holder returns who holds the zone, as far as this instance knows.
+func (e *Elector) Holder() registrar.Zone {
+	return e.c.State.Zone(e.c.AvailabilityZone)
+}
+
+// Run takes part until the context ends.
+func (e *Elector) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		e.loop(ctx, g)
+		return nil
+	})
+	return g.Wait()
+}
+
+// Release hands the zone over on shutdown: this instance starts nothing more,
+// and the log's leader and the peers are told, so that a successor needn't
+// wait for the lease to lapse.
+func (e *Elector) Release(ctx context.Context) error {
+	e.mu.Lock()
+	r, held := e.machine.Release()
+	e.mu.Unlock()
+	if !held {
+		return nil
+	}
+	var g errgroup.Group
+	for _, to := range append([]unit.Instance{e.c.Leader()}, e.c.Peers...) {
+		g.Go(func() error {
+			_, err := ask[struct{}](ctx, e, to, MethodRelease, r)
+			return err
+		})
+	}
+	return errors.Wrap(g.Wait(), "handing the zone over")
+}
--- /dev/null
+++ b/elector/handover_test.go
@@ -0,0 +1,95 @@
+package elector
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func names(n ...unit.Instance) []unit.Instance { return n }
+
+// fleet is a log and a mesh in memory.
+type fleet struct {
+	mu       sync.Mutex
+	state    *registrar.Registrar
+	index    replicator.Index
+	electors map[unit.Instance]*Elector
+	// changed gets a value after each applied command.
+	changed chan struct{}
+}
+
+func (f *fleet) propose(_ context.Context, c registrar.Command) (registrar.Result, error) {
+	f.mu.Lock()
+	f.index++
+	data := f.state.Apply(f.index, registrar.EncodeCommand(c))
+	f.mu.Unlock()
+	return registrar.DecodeResult(data)
+}
+
+// peer is the mesh as one instance sees it.
+type peer struct {
+	f    *fleet
+	self unit.Instance
+}
+
+func (p peer) Call(ctx context.Context, to unit.Instance, m instance.Method, body []byte) ([]byte, error) {
+	e := p.f.electors[to]
+	if e == nil {
+		return nil, &instance.CallError{Peer: to, Cause: errors.New("no such instance")}
+	}
+	return e.Handlers()[m](ctx, p.self, body)
+}
+
+func (f *fleet) add(self unit.Instance, peers ...unit.Instance) *Elector {
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	e := New(Config{
+		Instance: self, AvailabilityZone: testZone, Peers: peers, State: f.state,
+		Call: peer{f, self}, Leader: func() unit.Instance { return "i0" },
+		Propose: f.propose, ProposeHere: f.propose,
+		Lead:  func() (clock.Millis, bool) { return 1, self == "i0" },
+		Lease: 200 * clock.Millisecond, Logger: logger, Metrics: tally.NoopScope,
+	})
+	f.electors[self] = e
+	return e
+}
+
+func TestTakeAndRelease(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	f := &fleet{state: registrar.New(), electors: map[unit.Instance]*Elector{}, changed: make(chan struct{}, 100)}
+	f.state.Subscribe(func(replicator.Index) { f.changed <- struct{}{} })
+	electors := map[unit.Instance]*Elector{"i0": f.add("i0", "i1"), "i1": f.add("i1", "i0")}
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	for _, e := range electors {
+		g.Go(func() error { return e.Run(ctx) })
+	}
+	<-f.changed
+	first := f.state.Zone(testZone)
+	is.Equal(first.Epoch, unit.Epoch(1))
+
+	is.NoErr(electors[first.Holder].Release(ctx))
+	_, ok := electors[first.Holder].MayStart(clock.Clock{}.Now())
+	is.True(!ok) // it starts nothing more
+	for f.state.Zone(testZone).Epoch < 2 {
+		<-f.changed
+	}
+	second := f.state.Zone(testZone)
+	is.True(second.Holder != first.Holder) // the other one took over
+	cancel()
+	is.NoErr(g.Wait())
+}
