--- a/replicator/core.go
+++ b/replicator/core.go
@@ -20,11 +20,10 @@
 	// time for which the voters withhold their votes.
 	driftPercent = 10
 
-	// deadAfter is for how many election timeouts a voter must be silent
-	// before a caught-up learner of another instance may replace it.
-	deadAfter = 300
-	// goneAfter is the same for a voter whose instance came back under a new
-	// incarnation, and for learners that count as active.
+	// defaultDeadAfter is several times what a restart takes.
+	defaultDeadAfter = 5 * clock.Minute
+	// goneAfter is for how many election timeouts a voter must be silent
+	// before another life of its own instance takes its place.
 	goneAfter = 3
 )
 
@@ -39,7 +38,10 @@
 	MaxInflight int
 	// MaxMessageBytes bounds a message, except that one entry always fits.
 	MaxMessageBytes int
-	Seed            uint64
+	// DeadAfter is for how long a voter must be silent before a caught-up
+	// learner of another instance takes its place.
+	DeadAfter clock.Millis
+	Seed      uint64
 	// Life differs between any two runs of a process.
 	Life uint64
 
@@ -112,6 +114,9 @@
 	if c.Election == 0 {
 		c.Election = DefaultElection
 	}
+	if c.DeadAfter == 0 {
+		c.DeadAfter = defaultDeadAfter
+	}
 	if c.MaxInflight == 0 {
 		c.MaxInflight = defaultMaxInflight
 	}
--- a/replicator/lead.go
+++ b/replicator/lead.go
@@ -289,4 +289,3 @@
 		c.commit = i
 	}
 }
-
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -33,9 +33,9 @@
 
 // state is what the loop publishes for callers.
 type state struct {
-	status       Status
-	since        clock.Millis
-	leaseUntil   clock.Millis
+	status     Status
+	since      clock.Millis
+	leaseUntil clock.Millis
 	// established: all that was committed before this leadership is applied.
 	established bool
 	// readable: established, and all that was committed since is applied.
--- a/replicator/transfer.go
+++ b/replicator/transfer.go
@@ -12,7 +12,7 @@
 	var best Member
 	for _, v := range c.log.membership().membership.Voters {
 		p := c.lead.members[v]
-		if p == nil || c.isSilent(p, 1) {
+		if p == nil || c.isSilent(p, c.config.Election) {
 			continue
 		}
 		if b := c.lead.members[best]; b == nil || p.match > b.match {
--- a/replicator/upkeep.go
+++ b/replicator/upkeep.go
@@ -61,10 +61,10 @@
 func (c *Core) nextMembership(ms Membership, caughtUp Index) (Membership, bool) {
 	for _, l := range ms.Learners {
 		p := c.lead.members[l]
-		if c.isSilent(p, deadAfter) {
+		if c.isSilent(p, c.config.DeadAfter) {
 			return ms.removed(l), true
 		}
-		if p.match < caughtUp || c.isSilent(p, 1) {
+		if p.match < caughtUp || c.isSilent(p, c.config.Election) {
 			continue
 		}
 		if next, ok := c.admit(ms, l); ok {
@@ -79,37 +79,37 @@
 // count for anything, and leaving it in would only raise the quorum.
 func (c *Core) admit(ms Membership, l Member) (Membership, bool) {
 	if old, ok := ms.voterOf(l.Instance); ok {
-		return c.removeSilent(ms, old, goneAfter)
+		return c.removeSilent(ms, old, goneAfter*c.config.Election)
 	}
 	if len(ms.Voters) < len(c.hard.Base.Voters) {
 		return ms.promoted(l), true
 	}
 	for _, v := range ms.Voters {
-		if next, ok := c.removeSilent(ms, v, deadAfter); ok {
+		if next, ok := c.removeSilent(ms, v, c.config.DeadAfter); ok {
 			return next, true
 		}
 	}
 	return ms, false
 }
 
-// removeSilent removes a voter that was silent for so many election timeouts,
-// if the voters that are left can still commit.
-func (c *Core) removeSilent(ms Membership, v Member, timeouts clock.Millis) (Membership, bool) {
-	if v == c.config.Self || !c.isSilent(c.lead.members[v], timeouts) {
+// removeSilent removes a voter that was silent for so long, if the voters that
+// are left can still commit.
+func (c *Core) removeSilent(ms Membership, v Member, after clock.Millis) (Membership, bool) {
+	if v == c.config.Self || !c.isSilent(c.lead.members[v], after) {
 		return ms, false
 	}
 	next := ms.removed(v)
 	active := 0
 	for _, o := range next.Voters {
-		if o == c.config.Self || !c.isSilent(c.lead.members[o], 1) {
+		if o == c.config.Self || !c.isSilent(c.lead.members[o], c.config.Election) {
 			active++
 		}
 	}
 	return next, active >= quorum(len(next.Voters))
 }
 
-func (c *Core) isSilent(p *progress, timeouts clock.Millis) bool {
-	return p == nil || c.now-p.seenAt > timeouts*c.config.Election
+func (c *Core) isSilent(p *progress, after clock.Millis) bool {
+	return p == nil || c.now-p.seenAt > after
 }
 
 // nextJoin takes in an instance that asked lately.
