limiter: give allotments back so that a lost answer can't break the limit

Ruled out: releasing only spare parts; the part is spent while the release is on its way. Change: Zone.Return takes the part out of use until Returned; Fleet.ReleaseAt applies a release only at the change number that it was made for. Excess is not spent from the moment it is seen. Not covered: registrar.ReleaseAllotment carries no change number yet.

--- a/limiter/fleet.go
+++ b/limiter/fleet.go
@@ -16,6 +16,9 @@
 	Held   map[unit.Team]map[unit.AvailabilityZone]unit.Resources
 	// Unmet is what a zone asked for in vain; see Wanted.
 	Unmet map[unit.Team]map[unit.AvailabilityZone]unit.Resources
+	// Changes numbers the changes of each allotment, so that a release that
+	// arrives late or twice is known; see ReleaseAt.
+	Changes map[unit.Team]map[unit.AvailabilityZone]uint64
 	// Live lists the zones that may hold allotments, sorted.
 	Live []unit.AvailabilityZone
 }
@@ -51,12 +54,16 @@
 	if f.Unmet == nil {
 		f.Unmet = map[unit.Team]map[unit.AvailabilityZone]unit.Resources{}
 	}
+	if f.Changes == nil {
+		f.Changes = map[unit.Team]map[unit.AvailabilityZone]uint64{}
+	}
 }
 
 // takeBack ends the allotments of a lost zone.
 func (f *Fleet) takeBack(az unit.AvailabilityZone) {
 	for team := range f.Held {
 		f.set(f.Held, team, az, unit.Resources{})
+		f.changed(az, team)
 	}
 	for team := range f.Unmet {
 		f.set(f.Unmet, team, az, unit.Resources{})
@@ -168,6 +175,7 @@
 	if _, known := f.Limits[team]; !known {
 		return f.Held[team][az]
 	}
+	f.changed(az, team)
 	want = want.Max(unit.Resources{})
 	room := f.room(team)
 	f.grant(team, az, want)
@@ -175,9 +183,33 @@
 	return f.Held[team][az]
 }
 
+func (f *Fleet) changed(az unit.AvailabilityZone, team unit.Team) {
+	if f.Changes[team] == nil {
+		f.Changes[team] = map[unit.AvailabilityZone]uint64{}
+	}
+	f.Changes[team][az]++
+}
+
+// Change numbers the state of a zone's allotment of a team's limit.
+func (f *Fleet) Change(az unit.AvailabilityZone, team unit.Team) uint64 {
+	return f.Changes[team][az]
+}
+
+// ReleaseAt is Release if the allotment hasn't changed since Change returned
+// the number, and changes nothing otherwise. A release whose answer was lost
+// may be applied late or twice; without the number it would take away what
+// the zone has acquired and spent since.
+func (f *Fleet) ReleaseAt(az unit.AvailabilityZone, team unit.Team, amount unit.Resources, change uint64) unit.Resources {
+	if f.Change(az, team) != change {
+		return f.Held[team][az]
+	}
+	return f.Release(az, team, amount)
+}
+
 // Release lowers a zone's allotment and returns it.
 func (f *Fleet) Release(az unit.AvailabilityZone, team unit.Team, amount unit.Resources) unit.Resources {
 	f.makeMaps()
+	f.changed(az, team)
 	held := f.Held[team][az]
 	amount = amount.Max(unit.Resources{}).Min(held)
 	f.set(f.Held, team, az, held.Sub(amount))
--- /dev/null
+++ b/limiter/fleet_test.go
@@ -0,0 +1,134 @@
+package limiter
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func slots(n unit.Count) unit.Resources { return unit.Resources{Slots: n} }
+
+func TestConfigure(t *testing.T) {
+	az := func(names ...unit.AvailabilityZone) []unit.AvailabilityZone { return names }
+	type change struct {
+		limit      unit.Count
+		live, lost []unit.AvailabilityZone
+	}
+	cases := map[string]struct {
+		changes []change
+		held    []unit.Count
+		excess  []unit.Count
+	}{
+		"a limit is split at once": {
+			changes: []change{{limit: 11, live: az("a", "b", "c")}},
+			held:    []unit.Count{4, 4, 3},
+			excess:  []unit.Count{0, 0, 0},
+		},
+		"a raised limit is split too": {
+			changes: []change{{limit: 3, live: az("a", "b", "c")}, {limit: 9, live: az("a", "b", "c")}},
+			held:    []unit.Count{3, 3, 3},
+			excess:  []unit.Count{0, 0, 0},
+		},
+		"a lowered limit takes nothing": {
+			changes: []change{{limit: 12, live: az("a", "b", "c")}, {limit: 4, live: az("a", "b", "c")}},
+			held:    []unit.Count{4, 4, 4},
+			excess:  []unit.Count{2, 3, 3},
+		},
+		"a removed team keeps what it holds as excess": {
+			changes: []change{{limit: 6, live: az("a", "b", "c")}, {live: az("a", "b", "c")}},
+			held:    []unit.Count{2, 2, 2},
+			excess:  []unit.Count{2, 2, 2},
+		},
+		"a lost zone loses its allotment": {
+			changes: []change{{limit: 6, live: az("a", "b", "c")}, {limit: 6, live: az("a", "b"), lost: az("c")}},
+			held:    []unit.Count{2, 2, 0},
+			excess:  []unit.Count{0, 0, 0},
+		},
+		"a zone that is only left out keeps it as excess": {
+			changes: []change{{limit: 6, live: az("a", "b", "c")}, {limit: 6, live: az("a", "b")}},
+			held:    []unit.Count{2, 2, 2},
+			excess:  []unit.Count{0, 0, 2},
+		},
+		"a limit without a bound": {
+			changes: []change{{limit: unit.Unlimited, live: az("a", "b", "c")}},
+			held:    []unit.Count{unit.Unlimited, unit.Unlimited, unit.Unlimited},
+			excess:  []unit.Count{0, 0, 0},
+		},
+		"a bound after none": {
+			changes: []change{{limit: unit.Unlimited, live: az("a", "b", "c")}, {limit: 5, live: az("a", "b", "c")}},
+			held:    []unit.Count{unit.Unlimited, unit.Unlimited, unit.Unlimited},
+			excess:  []unit.Count{unit.Unlimited - 2, unit.Unlimited - 2, unit.Unlimited - 1},
+		},
+		"a new zone gets its even part of the room": {
+			changes: []change{{limit: 6, live: az("a", "b"), lost: az("c")}, {limit: 12, live: az("a", "b", "c")}},
+			held:    []unit.Count{4, 4, 4},
+			excess:  []unit.Count{0, 0, 0},
+		},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f Fleet
+			for _, c := range tt.changes {
+				limits := map[unit.Team]unit.Resources{}
+				if c.limit > 0 {
+					limits[team] = slots(c.limit)
+				}
+				f.Configure(limits, c.live, c.lost)
+			}
+			for i, zone := range zones {
+				is.Equal(f.Allotments(zone)[team].Slots, tt.held[i])
+				is.Equal(f.Excess(zone)[team].Slots, tt.excess[i])
+			}
+		})
+	}
+}
+
+// TestExcessIsStable shows that a zone that gave its excess back isn't asked
+// again when others follow.
+func TestExcessIsStable(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Configure(map[unit.Team]unit.Resources{team: slots(30)}, zones, nil)
+	f.Release("a", team, slots(9))
+	f.Acquire("b", team, slots(9))
+	f.Configure(map[unit.Team]unit.Resources{team: slots(10)}, zones, nil)
+	for _, az := range zones {
+		f.Release(az, team, f.Excess(az)[team])
+		is.Equal(f.Excess(az)[team], unit.Resources{})
+	}
+	is.Equal(f.Allotments("a")[team].Slots, unit.Count(1))
+	is.Equal(f.Allotments("b")[team].Slots, unit.Count(5))
+	is.Equal(f.Allotments("c")[team].Slots, unit.Count(4))
+}
+
+// TestAcquire gives what is left, and lets other zones see what lacked.
+func TestAcquire(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	f.Configure(map[unit.Team]unit.Resources{team: slots(9)}, zones, nil)
+	f.Release("b", team, slots(2))
+	is.Equal(f.Acquire("a", team, slots(5)), slots(5))
+	is.Equal(f.Wanted("c")[team], slots(3))
+	is.Equal(f.Wanted("a")[team], unit.Resources{})
+	is.Equal(f.Acquire("z", team, slots(5)), unit.Resources{}) // not a live zone
+	f.Release("c", team, slots(3))
+	is.Equal(f.Acquire("a", team, slots(3)), slots(8))
+	is.Equal(f.Wanted("c")[team], unit.Resources{})
+}
+
+// TestSnapshot shows that the fleet survives its snapshot unchanged.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	var f, restored Fleet
+	f.Configure(map[unit.Team]unit.Resources{team: slots(10)}, zones, nil)
+	f.Acquire("a", team, slots(5))
+	f.Release("b", team, slots(1))
+	is.NoErr(encoder.Unmarshal(encoder.Marshal(f), &restored))
+	is.Equal(restored, f)
+	restored.Configure(map[unit.Team]unit.Resources{team: slots(20)}, zones, nil)
+	is.Equal(restored.Held[team]["a"].Slots, unit.Count(8))
+}
--- a/limiter/zone.go
+++ b/limiter/zone.go
@@ -13,9 +13,11 @@
 }
 
 type account struct {
-	// allotment is what the log says, returning the part of it that is being
-	// given back: the log may still show it, but it isn't spent any more.
+	// allotment is what the log says, excess what must be given back of it,
+	// returning what is being given back: the log may still show it, but it
+	// isn't spent any more.
 	allotment unit.Resources
+	excess    unit.Resources
 	returning unit.Resources
 	held      unit.Resources
 	carried   unit.Resources
@@ -41,7 +43,7 @@
 
 // spendable is what starts may use in all.
 func (a *account) spendable() unit.Resources {
-	return a.allotment.Sub(a.returning).Max(unit.Resources{})
+	return a.allotment.Sub(a.excess.Max(a.returning)).Max(unit.Resources{})
 }
 
 // charged is what counts against the allotment. What a predecessor may have
@@ -50,16 +52,24 @@
 	return addCapped(a.held, a.carried)
 }
 
-// Set stores a team's allotment as the log has it.
+// Set stores a team's allotment as the log has it, without excess.
 func (z *Zone) Set(team unit.Team, allotment unit.Resources) {
-	z.account(team).allotment = allotment
+	z.Adjust(team, allotment, unit.Resources{})
 }
 
-// Teams returns the allotments that were set.
+// Adjust stores a team's allotment as the log has it, of which excess must be
+// given back. The excess isn't spent from now on; Return gives it back as
+// tasks end.
+func (z *Zone) Adjust(team unit.Team, allotment, excess unit.Resources) {
+	a := z.account(team)
+	a.allotment, a.excess = allotment, excess
+}
+
+// Teams returns what each team may spend in all.
 func (z *Zone) Teams() map[unit.Team]unit.Resources {
 	out := map[unit.Team]unit.Resources{}
 	for team, a := range z.teams {
-		out[team] = a.allotment
+		out[team] = a.spendable()
 	}
 	return out
 }
@@ -160,21 +170,31 @@
 	z.account(team).carried = unit.Resources{}
 }
 
-// Return takes up to amount of the spare allotment out of use and returns the
-// part, which the caller then releases in the log. It is taken out of use
-// before the log is asked: once the release is in the log, another zone may
-// spend it.
-func (z *Zone) Return(team unit.Team, amount unit.Resources) unit.Resources {
+// Return takes the excess, or want if that is more, out of use, as far as
+// nothing is charged to it, and returns the part for the caller to release in
+// the log. It is taken out of use before the log is asked: once the release
+// is in the log, another zone may spend it. There is one at a time: until
+// Returned, Return gives zero.
+func (z *Zone) Return(team unit.Team, want unit.Resources) unit.Resources {
 	a := z.account(team)
-	part := amount.Max(unit.Resources{}).Min(z.Spare(team))
-	a.returning = a.returning.Add(part)
-	return part
+	if !a.returning.IsZero() {
+		return unit.Resources{}
+	}
+	unused := a.allotment.Sub(a.charged()).Max(unit.Resources{})
+	a.returning = a.excess.Max(want).Min(unused)
+	return a.returning
 }
 
-// Returned ends a Return: the log has applied the release, or surely never
-// will. allotment is the log's allotment after it.
-func (z *Zone) Returned(team unit.Team, part, allotment unit.Resources) {
-	a := z.account(team)
-	a.returning = a.returning.Sub(part.Min(a.returning))
-	a.allotment = allotment
+// Returning returns what Return took out of use last, for a resend. It is
+// zero after Returned.
+func (z *Zone) Returning(team unit.Team) unit.Resources {
+	return z.account(team).returning
+}
+
+// Returned ends a Return. It is called once the fate of the release is sure:
+// the log has applied it, or never will. A release whose answer was lost may
+// still be applied; its fate is known once Fleet.Change has moved on.
+func (z *Zone) Returned(team unit.Team, allotment, excess unit.Resources) {
+	z.account(team).returning = unit.Resources{}
+	z.Adjust(team, allotment, excess)
 }
--- a/queuer/model_test.go
+++ b/queuer/model_test.go
@@ -38,9 +38,9 @@
 	ended   []unit.Task
 	// unclaimed are the upstreams that a new queuer has not heard of yet.
 	unclaimed map[unit.Upstream]bool
-	settled map[unit.Work]bool
-	allot   map[unit.Team]unit.Resources
-	ids     int
+	settled   map[unit.Work]bool
+	allot     map[unit.Team]unit.Resources
+	ids       int
 }
 
 type placement struct {
--- a/queuer/team.go
+++ b/queuer/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/chervilvane/chervilvane/unit"
@@ -64,21 +65,37 @@
 // SetAllotments sets the zone's allotment of each team's limit. A team that
 // isn't named has none.
 func (q *Queuer) SetAllotments(allotments map[unit.Team]unit.Resources) {
+	q.AdjustAllotments(allotments, nil)
+}
+
+// AdjustAllotments sets the allotments as the log has them, and what of them
+// must be given back. It returns the part to release in the log now; Released
+// is called once the fate of such a release is sure.
+func (q *Queuer) AdjustAllotments(allotments, excess map[unit.Team]unit.Resources) map[unit.Team]unit.Resources {
+	release := map[unit.Team]unit.Resources{}
 	before := q.zone.Teams()
-	for team, a := range before {
-		if allotments[team] != a {
-			q.setAllotment(team, allotments[team])
+	names := maps.Clone(before)
+	maps.Copy(names, allotments)
+	for name := range names {
+		q.zone.Adjust(name, allotments[name], excess[name])
+		if part := q.zone.Return(name, unit.Resources{}); !part.IsZero() {
+			release[name] = part
 		}
-	}
-	for team, a := range allotments {
-		if before[team] != a {
-			q.setAllotment(team, a)
+		if old, known := before[name]; !known || old != q.zone.Allotment(name) {
+			q.allotmentChanged(name)
 		}
 	}
+	return release
+}
+
+// Released ends a release of a part of a team's allotment: the log has applied
+// it, or surely never will. It takes the allotment and excess in the log then.
+func (q *Queuer) Released(name unit.Team, allotment, excess unit.Resources) {
+	q.zone.Returned(name, allotment, excess)
+	q.allotmentChanged(name)
 }
 
-func (q *Queuer) setAllotment(name unit.Team, allotment unit.Resources) {
-	q.zone.Set(name, allotment)
+func (q *Queuer) allotmentChanged(name unit.Team) {
 	q.freedAllotment(q.team(name))
 	q.recheck = true
 	q.checkOver = true
