queuer: move checkpointed work for shares and let a reservation come true

Cause: a team whose waiting tasks were large or gangs fell behind its share, since room for them never appeared by itself; the reservation waited for estimates that were wrong, and moves and urgent tasks took its room (seen in a trace of claims per upstream). Tasks that use four times what they declare overran their upstreams until they ended. Change: batch work of teams that have more is checkpointed for a team that has less, only if that never calls for the reverse move; a reservation that is late stops the batch work in its way; room claimed by a group is used by others only if they are urgent and nothing else is left. Use far beyond what an upstream holds stops batch work there.

--- a/placer/cell.go
+++ b/placer/cell.go
@@ -69,7 +69,9 @@
 	Charge unit.Resources
 	// Extra is what it was seen to use beyond that and the upstream had room
 	// for.
-	Extra    unit.Resources
+	Extra unit.Resources
+	// Unmet is what it uses beyond both.
+	Unmet    unit.Resources
 	Started  clock.Millis
 	EndsAt   clock.Millis
 	Stopping bool
@@ -154,6 +156,9 @@
 // Total returns what the usable upstreams hold together.
 func (c *Cell) Total() unit.Resources { return c.total }
 
+// Upstreams returns the number of known upstreams.
+func (c *Cell) Upstreams() int { return len(c.upstreams) }
+
 // TakeFreed returns the upstreams whose free room grew since the last call.
 func (c *Cell) TakeFreed() []unit.Upstream {
 	freed := c.freed
@@ -354,6 +359,7 @@
 	delete(c.running, id)
 	c.countRack(r.Task, u.Rack, -1)
 	c.probeEnded(u, id)
+	c.growUnmet(u)
 	c.touch(u, before)
 	c.forget(u)
 	return *r, true
@@ -391,26 +397,3 @@
 	})
 	return tasks
 }
-
-// Grow charges what a task was seen to use beyond its charge, as far as its
-// upstream has room, so that nothing else is placed there.
-func (c *Cell) Grow(id unit.Task, usage unit.Resources) {
-	r := c.running[id]
-	if r == nil || r.Stopping {
-		return
-	}
-	u := c.upstreams[r.Upstream]
-	room := u.free().Max(unit.Resources{})
-	extra := usage.Sub(r.Charge).Max(unit.Resources{}).Min(r.Extra.Add(room))
-	if extra == r.Extra {
-		return
-	}
-	before := u.free()
-	change := extra.Sub(r.Extra)
-	r.Extra = extra
-	u.given = u.given.Add(change)
-	if r.Preemptible() {
-		u.preemptible = u.preemptible.Add(change)
-	}
-	c.touch(u, before)
-}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -17,14 +17,18 @@
 // expected later isn't worth to be kept free for.
 const maxPlanned = 24 * clock.Hour
 
+// stopTime is how long a task is expected to take to stop.
+const stopTime = clock.Second
+
 // Plan finds where count tasks of a size will have room soonest, by the
-// estimated ends of what runs. It looks at each upstream, so it is called
+// estimated ends of what runs. Tasks whose cost isn't negative are taken as
+// such that will be told to stop. It looks at each upstream, so it is called
 // once for a reservation and not for each decision.
-func (c *Cell) Plan(now clock.Millis, charge unit.Resources, count int) ([]Place, bool) {
+func (c *Cell) Plan(now clock.Millis, charge unit.Resources, count int, cost Cost) ([]Place, bool) {
 	var places []Place
 	for _, u := range c.slots {
 		if u != nil && u.usable() && charge.Fits(u.Holds) {
-			places = u.plan(places, now, charge, count)
+			places = u.plan(places, now, charge, count, cost)
 		}
 	}
 	if len(places) < count {
@@ -35,7 +39,7 @@
 }
 
 // plan appends a place for each further task that fits as time goes on.
-func (u *upstream) plan(places []Place, now clock.Millis, charge unit.Resources, count int) []Place {
+func (u *upstream) plan(places []Place, now clock.Millis, charge unit.Resources, count int, cost Cost) []Place {
 	type end struct {
 		at    clock.Millis
 		frees unit.Resources
@@ -43,7 +47,11 @@
 	ends := make([]end, 0, len(u.tasks)+1)
 	ends = append(ends, end{at: now})
 	for _, r := range u.tasks {
-		ends = append(ends, end{at: r.expectedEnd(now), frees: r.Charge.Add(r.Extra)})
+		at := r.expectedEnd(now)
+		if cost(*r) >= 0 {
+			at = min(at, now+stopTime)
+		}
+		ends = append(ends, end{at: at, frees: r.Charge.Add(r.Extra)})
 	}
 	slices.SortStableFunc(ends, func(a, b end) int { return compare(int64(a.at), int64(b.at)) })
 	room := u.free()
--- a/placer/victim.go
+++ b/placer/victim.go
@@ -7,39 +7,76 @@
 )
 
 // victimCandidates bounds the upstreams that are compared for preemption.
-const victimCandidates = 16
+const victimCandidates = 32
 
-// Cost says how much is lost by stopping a task; the caller adds to it by
-// what it knows of shares.
+// Cost says how much is lost by stopping a task; a negative cost spares the
+// task.
 type Cost func(r Running) int64
 
-// Victims finds the upstream where urgent work of size need displaces least,
-// and the tasks to stop there. There may be none to stop, if only the claims
-// of a group were in the way.
-func (c *Cell) Victims(need unit.Resources, cost Cost) (unit.Upstream, []Running, bool) {
-	var found *upstream
-	var victims []Running
-	var least int64
+// Victims finds the upstream where work of size need displaces least, and the
+// tasks to stop there. Upstreams where the group has its claims come last, and
+// only for urgent work: a stream of small tasks would never let the group
+// start. There may be none to stop, if only these claims were in the way.
+func (c *Cell) Victims(need unit.Resources, urgent bool, cost Cost) (unit.Upstream, []Running, bool) {
+	best := c.leastVictims(need, cost, func(u *upstream) bool { return u.groupClaimed.IsZero() })
+	if best.upstream == nil && urgent {
+		best = c.leastVictims(need, cost, func(u *upstream) bool { return !u.groupClaimed.IsZero() })
+	}
+	if best.upstream == nil {
+		return "", nil, false
+	}
+	return best.upstream.ID, best.victims, true
+}
+
+// displaced is what starting a task on an upstream displaces.
+type displaced struct {
+	upstream *upstream
+	victims  []Running
+	cost     int64
+}
+
+func (c *Cell) leastVictims(need unit.Resources, cost Cost, eligible func(*upstream) bool) displaced {
+	var best displaced
 	left := victimCandidates
 	v := need.Vector()
 	c.yielding.ascend(&v, func(slot int32) bool {
 		u := c.slots[slot]
-		some, sum := u.victims(need, cost)
-		if found == nil || sum < least {
-			found, victims, least = u, some, sum
+		if !eligible(u) {
+			return true
 		}
 		left--
-		return left > 0 && least > 0
+		victims, sum, enough := u.victims(need, cost)
+		if enough && (best.upstream == nil || sum < best.cost) {
+			best = displaced{upstream: u, victims: victims, cost: sum}
+		}
+		return left > 0 && (best.upstream == nil || best.cost > 0)
 	})
-	if found == nil {
-		return "", nil, false
+	return best
+}
+
+// GroupVictims returns the tasks to stop so that the room that the group
+// claimed is there, or reports false if stopping isn't enough.
+func (c *Cell) GroupVictims(tasks []unit.Task, cost Cost) ([]Running, bool) {
+	var out []Running
+	seen := map[*upstream]struct{}{}
+	for _, id := range tasks {
+		u := c.upstreams[c.claims[id].Upstream]
+		if _, again := seen[u]; again {
+			continue
+		}
+		seen[u] = struct{}{}
+		some, _, enough := u.victims(u.groupClaimed, cost)
+		if !enough {
+			return nil, false
+		}
+		out = append(out, some...)
 	}
-	return found.ID, victims, true
+	return out, true
 }
 
 // victims chooses tasks, cheapest first, until need fits, and then leaves out
-// those that turned out not to be needed.
-func (u *upstream) victims(need unit.Resources, cost Cost) ([]Running, int64) {
+// those that turned out not to be needed. It reports whether they are enough.
+func (u *upstream) victims(need unit.Resources, cost Cost) ([]Running, int64, bool) {
 	room := u.unclaimed().Add(u.stopping)
 	var chosen []Running
 	for _, r := range u.byCost(cost) {
@@ -52,6 +89,9 @@
 		chosen = append(chosen, *r)
 		room = room.Add(r.Charge).Add(r.Extra)
 	}
+	if !need.Fits(room) {
+		return nil, 0, false
+	}
 	var sum int64
 	for i := len(chosen) - 1; i >= 0; i-- {
 		whole := chosen[i].Charge.Add(chosen[i].Extra)
@@ -62,7 +102,7 @@
 		}
 		sum += 1 + cost(chosen[i])
 	}
-	return chosen, sum
+	return chosen, sum, true
 }
 
 // helps reports whether stopping a task gives something of what lacks.
@@ -81,7 +121,7 @@
 func (u *upstream) byCost(cost Cost) []*Running {
 	var tasks []*Running
 	for _, r := range slices.Backward(u.tasks) {
-		if r.Preemptible() && !r.Stopping {
+		if r.Preemptible() && !r.Stopping && cost(*r) >= 0 {
 			tasks = append(tasks, r)
 		}
 	}
--- a/queuer/config.go
+++ b/queuer/config.go
@@ -43,16 +43,24 @@
 	impossibleTime = clock.Minute
 	// gangTime is how long a whole gang finds no room before it gets a
 	// reservation, starveTime the same for a single task.
-	gangTime   = clock.Second
+	gangTime   = shareTime
 	starveTime = 20 * clock.Second
 	// overdue is how many times starveTime work waits before it gets a
 	// reservation although teams with a smaller load wait too.
 	overdue = 10
+	// shareTime is how long a task of a team that has less than its share finds
+	// no room before tasks of teams that have more are stopped for it.
+	shareTime = 2 * clock.Second
 	// searchTime is the time between two searches for work that needs a
-	// reservation.
+	// reservation or preemption to get its part.
 	searchTime = 250 * clock.Millisecond
+	// upstreamsPerMove bounds the tasks that one search stops for shares.
+	upstreamsPerMove = 50
 	// gangRetry is the time between two tries to place a whole gang.
 	gangRetry = 250 * clock.Millisecond
+	// late is how long a reservation waits for tasks that run longer than
+	// expected before it stops them.
+	late = 2 * clock.Second
 	// patience is how long a reservation may be late before another group
 	// gets its turn.
 	patience = clock.Minute
--- a/queuer/decide.go
+++ b/queuer/decide.go
@@ -28,7 +28,7 @@
 		q.pass(ordinaryClass)
 	}
 	q.freed.trim()
-	q.searchReservation()
+	q.search()
 	return q.out
 }
 
@@ -189,7 +189,7 @@
 			return true
 		}
 	}
-	if l.class == urgentClass && q.preempt(w, charge) {
+	if l.class == urgentClass && q.preempt(w, charge, q.costFor(w.Team)) {
 		return true
 	}
 	q.noRoom(l, charge)
--- a/queuer/gang.go
+++ b/queuer/gang.go
@@ -89,6 +89,9 @@
 	charge unit.Resources
 	// readyAt is when all room is expected to be there.
 	readyAt clock.Millis
+	// forced says that tasks that run longer than expected were stopped, if
+	// that helps.
+	forced bool
 }
 
 func (r *reservation) has(w *waiting) bool {
@@ -98,10 +101,9 @@
 // searchReservation gives the reservation, if it is free, to the group that
 // has its turn and has found no room for long enough.
 func (q *Queuer) searchReservation() {
-	if q.reservation != nil || !q.fair || q.noReservations || q.now < q.searchedAt+searchTime {
+	if q.reservation != nil || q.noReservations {
 		return
 	}
-	q.searchedAt = q.now
 	var found *lane
 	least := math.Inf(1)
 	for _, l := range q.lanes {
@@ -110,7 +112,7 @@
 		}
 		q.setLoad(l.team, l.class)
 		least = min(least, l.team.load)
-		if q.awaitsReservation(l) && (found == nil || q.before(l, found)) {
+		if q.awaitsReservation(l) && (found == nil || precedes(l, found)) {
 			found = l
 		}
 	}
@@ -132,8 +134,8 @@
 	return waited >= q.config.starveTime()
 }
 
-// before orders lanes that await a reservation, once their loads are set.
-func (q *Queuer) before(a, b *lane) bool {
+// precedes orders lanes that await a reservation, once their loads are set.
+func precedes(a, b *lane) bool {
 	if a.team.load != b.team.load {
 		return a.team.load < b.team.load
 	}
@@ -148,7 +150,11 @@
 		return
 	}
 	charge := q.charge(tasks[0].Task)
-	places, ok := q.cell.Plan(q.now, charge, len(tasks))
+	cost := spareAll
+	if q.now-l.blockedSince >= shareTime {
+		cost = q.costForShare(l.team, times(charge, len(tasks)))
+	}
+	places, ok := q.cell.Plan(q.now, charge, len(tasks), cost)
 	if !ok || !q.zone.Reserve(l.team.name, times(charge, len(tasks))) {
 		return
 	}
@@ -161,6 +167,25 @@
 	l.reserved = true
 	q.reservation = r
 	q.recheck = true
+	q.stopFor(r, cost)
+}
+
+// spareAll is the cost by which nothing is stopped.
+func spareAll(placer.Running) int64 { return -1 }
+
+// stopFor stops what is in the way of a reservation, if that makes all of its
+// room. The cost is asked again for each task, since it changes as tasks of
+// the same team are stopped.
+func (q *Queuer) stopFor(r *reservation, cost placer.Cost) {
+	victims, enough := q.cell.GroupVictims(r.ids, cost)
+	if !enough {
+		return
+	}
+	for _, v := range victims {
+		if cost(v) >= 0 {
+			q.stop(v)
+		}
+	}
 }
 
 // advanceReservation starts the group once its room is there, and ends a
@@ -183,6 +208,9 @@
 	switch {
 	case ready:
 		q.startReserved(r)
+	case !r.forced && q.now > r.readyAt+late:
+		r.forced = true
+		q.stopFor(r, q.costFor(r.lane.team.name))
 	case q.now > r.readyAt+patience:
 		q.releaseReservation()
 	}
--- a/queuer/lane.go
+++ b/queuer/lane.go
@@ -98,6 +98,7 @@
 	// may be made again.
 	retryAt   clock.Millis
 	reserveAt clock.Millis
+	moveAt    clock.Millis
 	reserved  bool
 }
 
--- a/queuer/learn.go
+++ b/queuer/learn.go
@@ -46,7 +46,9 @@
 	p := q.profile(r.Work)
 	p.size = p.size.Max(usage)
 	if !usage.Fits(r.Charge) || !r.Extra.IsZero() {
-		q.cell.Grow(id, usage)
+		if q.cell.Grow(id, usage) {
+			q.overused[r.Upstream] = struct{}{}
+		}
 	}
 }
 
--- a/queuer/preempt.go
+++ b/queuer/preempt.go
@@ -1,7 +1,7 @@
 package queuer
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/chervilvane/chervilvane/clock"
@@ -62,9 +62,9 @@
 	return loadOf(t.held.Add(t.others), q.cell.Total(), t.share)
 }
 
-// preempt claims room for an urgent task and stops what is in its way.
-func (q *Queuer) preempt(w *waiting, charge unit.Resources) bool {
-	id, victims, ok := q.cell.Victims(charge, q.costFor(w.Team))
+// preempt claims room for a task and stops what is in its way.
+func (q *Queuer) preempt(w *waiting, charge unit.Resources, cost placer.Cost) bool {
+	id, victims, ok := q.cell.Victims(charge, w.Urgent, cost)
 	if !ok || !q.zone.Reserve(w.Team, charge) {
 		return false
 	}
@@ -193,20 +193,28 @@
 	}
 }
 
-// stopShrunk stops tasks on upstreams that hold less than they were given.
+// stopShrunk stops tasks on upstreams that hold less than they were given, and
+// batch work on those whose tasks use much more than they hold.
 func (q *Queuer) stopShrunk() {
-	if len(q.shrunk) == 0 {
-		return
+	for _, id := range sorted(q.shrunk) {
+		q.stopAll(q.cell.Overfull(id, q.cost))
 	}
-	ids := make([]unit.Upstream, 0, len(q.shrunk))
-	for id := range q.shrunk {
-		ids = append(ids, id)
+	clear(q.shrunk)
+	for _, id := range sorted(q.overused) {
+		q.stopAll(q.cell.Overused(id, q.cost))
 	}
-	slices.SortFunc(ids, func(a, b unit.Upstream) int { return cmp.Compare(a, b) })
-	for _, id := range ids {
-		for _, r := range q.cell.Overfull(id, q.cost) {
-			q.stop(r)
-		}
+	clear(q.overused)
+}
+
+func (q *Queuer) stopAll(tasks []placer.Running) {
+	for _, r := range tasks {
+		q.stop(r)
 	}
-	clear(q.shrunk)
+}
+
+func sorted(set map[unit.Upstream]struct{}) []unit.Upstream {
+	if len(set) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(set))
 }
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -77,7 +77,9 @@
 	deadlines deadlines
 	gangs     map[gangKey]int
 	// shrunk are the upstreams that may hold less than they were given.
-	shrunk      map[unit.Upstream]struct{}
+	shrunk map[unit.Upstream]struct{}
+	// overused are those whose tasks use much more than they hold.
+	overused    map[unit.Upstream]struct{}
 	claims      []*waiting
 	reservation *reservation
 	searchedAt  clock.Millis
@@ -130,6 +132,7 @@
 		profiles:   map[unit.Work]*profile{},
 		gangs:      map[gangKey]int{},
 		shrunk:     map[unit.Upstream]struct{}{},
+		overused:   map[unit.Upstream]struct{}{},
 	}
 	switch config.Policy.(type) {
 	case Fair:
