elector: let a takeover outlive the question that found the zone free

Cause: the call of the take ran under the context of the ask, which is cancelled when the ask has its answer, so the zone was taken only by luck: on the first whole path none was in 60 s. Ruled out: the leader's lease and the ticket (the log showed elector.take ended by 'context canceled'). Change: an action returns what follows; that runs under a context of its own. TestTakeOutlivesItsAsk failed before and passes now.

--- a/elector/run.go
+++ b/elector/run.go
@@ -50,11 +50,12 @@
 		}
 		g.Go(func() error {
 			defer e.end(c)
-			ctx, cancel := context.WithTimeout(ctx, e.c.Lease.Duration())
-			defer cancel()
-			if err := e.act(ctx, g, to, a); err != nil {
+			next, err := e.act(ctx, to, a)
+			if err != nil {
 				e.c.Logger.WithError(err).WithField("Method", method).Debug("a call of the election failed")
 			}
+			// What follows has a time of its own: it outlives this call.
+			e.carryOut(ctx, g, next)
 			return nil
 		})
 	}
@@ -95,19 +96,22 @@
 	}
 }
 
-// act carries out one action and brings the answer back to the machine.
-func (e *Elector) act(ctx context.Context, g *errgroup.Group, to unit.Instance, a Action) error {
+// act carries out one action, brings the answer back to the machine, and
+// returns what the machine wants next.
+func (e *Elector) act(ctx context.Context, to unit.Instance, a Action) ([]Action, error) {
+	ctx, cancel := context.WithTimeout(ctx, e.c.Lease.Duration())
+	defer cancel()
 	switch a := a.(type) {
 	case SendRenew:
-		return e.sendRenew(ctx, to, a.Renew)
+		return nil, e.sendRenew(ctx, to, a.Renew)
 	case SendPromise:
-		return e.sendPromise(ctx, a)
+		return nil, e.sendPromise(ctx, a)
 	case SendAsk:
-		return e.sendAsk(ctx, g, to, a.Ask)
+		return e.sendAsk(ctx, to, a.Ask)
 	case SendTake:
-		return e.sendTake(ctx, a.Take)
+		return nil, e.sendTake(ctx, a.Take)
 	case Settle:
-		return e.settle(ctx, a)
+		return nil, e.settle(ctx, a)
 	default:
 		panic("elector: action without a case")
 	}
@@ -137,17 +141,15 @@
 	return nil
 }
 
-func (e *Elector) sendAsk(ctx context.Context, g *errgroup.Group, to unit.Instance, a Ask) error {
+func (e *Elector) sendAsk(ctx context.Context, to unit.Instance, a Ask) ([]Action, error) {
 	reply, err := ask[AskReply](ctx, e, to, MethodAsk, a)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	now := e.c.Clock.Now()
 	e.mu.Lock()
-	actions := e.machine.Asked(now, a, reply)
-	e.mu.Unlock()
-	e.carryOut(ctx, g, actions)
-	return nil
+	defer e.mu.Unlock()
+	return e.machine.Asked(now, a, reply), nil
 }
 
 func (e *Elector) sendTake(ctx context.Context, t Take) error {
--- /dev/null
+++ b/elector/run_test.go
@@ -0,0 +1,54 @@
+package elector
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// TestTakeOutlivesItsAsk holds that a takeover isn't cancelled when the call
+// that found the zone free has ended. The log commits only after that.
+func TestTakeOutlivesItsAsk(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	is := is.New(t)
+	state := registrar.New()
+	proposed := make(chan error, 1)
+	var e *Elector
+	askEnded := func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return !e.calling[call{"i0", MethodAsk}]
+	}
+	e = New(Config{
+		Instance: "i0", AvailabilityZone: testZone, State: state, Lease: clock.Hour,
+		Leader: func() unit.Instance { return "i0" },
+		Lead:   func() (clock.Millis, bool) { return 1, true },
+		ProposeHere: func(ctx context.Context, c registrar.Command) (registrar.Result, error) {
+			for !askEnded() {
+				runtime.Gosched()
+			}
+			proposed <- ctx.Err()
+			return registrar.DecodeResult(state.Apply(1, registrar.EncodeCommand(c)))
+		},
+		Logger: logrus.New(), Metrics: tally.NoopScope,
+	})
+	// The first poll of a new instance comes after a lease; a clock that is far
+	// ahead makes it due.
+	e.machine = NewMachine("i0", testZone, nil, clock.Hour, -clock.Day)
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return e.Run(ctx) })
+	is.NoErr(<-proposed)
+	cancel()
+	is.NoErr(g.Wait())
+}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// ProposeHere commits a command only if this instance leads the log. It never
+// passes the command on, for commands whose conditions this leader checked.
+func (p *Proposer) ProposeHere(ctx context.Context, c registrar.Command) (registrar.Result, error) {
+	if p.c.Local == nil {
+		return nil, &replicator.NotLeaderError{Leader: p.Leader()}
+	}
+	result, err := p.c.Local.Propose(ctx, registrar.EncodeCommand(c))
+	if err != nil {
+		return nil, err
+	}
+	return registrar.DecodeResult(result)
+}
+
 // lastError prefers the attempt whose command may have been committed.
 func lastError(uncertain, last error) error {
 	if uncertain != nil {
--- a/runner/log.go
+++ b/runner/log.go
@@ -38,11 +38,13 @@
 	follower *replicator.Follower
 	proposer *proposer.Proposer
 	mesh     *instance.Mesh
-	parts    parts
+	// voters is the number of voters of a new fleet.
+	voters int
+	parts  parts
 }
 
 func newLog(s loader.Settings, state *registrar.Registrar, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger) (*log, *proposer.Proposer, error) {
-	lg := &log{mesh: mesh}
+	lg := &log{mesh: mesh, voters: len(voters(s))}
 	config := proposer.Config{Self: s.Instance, Voters: voters(s), Call: mesh}
 	if s.DataFolder != "" {
 		if err := lg.openNode(s, state, clk, l); err != nil {
@@ -172,7 +174,7 @@
 
 // transfer gives the log's leadership to another voter, if this one has it.
 func (lg *log) transfer(ctx context.Context) error {
-	if _, leads := lg.lead(); !leads {
+	if _, leads := lg.lead(); !leads || lg.voters < 2 {
 		return nil
 	}
 	return lg.node.Transfer(ctx)
