--- a/certifier/authority.go
+++ b/certifier/authority.go
@@ -10,6 +10,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -139,12 +140,19 @@
 }
 
 // Write puts the authority and a certificate for each instance into a folder
-// of PEM files: ca.pem, ca-key.pem, NAME.pem and NAME-key.pem.
+// of PEM files: ca.pem, ca-key.pem, NAME.pem and NAME-key.pem. Certificates of
+// other authorities that ca.pem held stay in it after the new one, so that
+// instances whose certificates haven't been replaced yet are still trusted; an
+// operator takes them out once all are replaced.
 func (a *Authority) Write(dir string, instances []unit.Instance) error {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return errors.Wrap(err, "making the folder of certificates")
 	}
-	if err := writePair(dir, AuthorityFile, AuthorityKeyFile, a.certPEM, a.keyPEM); err != nil {
+	roots, err := a.withOthers(filepath.Join(dir, AuthorityFile))
+	if err != nil {
+		return err
+	}
+	if err := writePair(dir, AuthorityFile, AuthorityKeyFile, roots, a.keyPEM); err != nil {
 		return err
 	}
 	for _, id := range instances {
@@ -159,6 +167,33 @@
 	return nil
 }
 
+// withOthers returns the authority's certificates and after them those of other
+// authorities in the file at path.
+func (a *Authority) withOthers(path string) ([]byte, error) {
+	old, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return a.certPEM, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the former authority")
+	}
+	others, err := parseCertificates(old)
+	if err != nil {
+		return nil, errors.Wrap(err, "former authority")
+	}
+	own, err := parseCertificates(a.certPEM)
+	if err != nil {
+		return nil, err
+	}
+	roots := slices.Clone(a.certPEM)
+	for _, o := range others {
+		if !slices.ContainsFunc(own, o.Equal) {
+			roots = append(roots, pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: o.Raw})...)
+		}
+	}
+	return roots, nil
+}
+
 func writePair(dir, certFile, keyFile string, certPEM, keyPEM []byte) error {
 	if err := replace(filepath.Join(dir, keyFile), keyPEM, keyMode); err != nil {
 		return err
--- /dev/null
+++ b/instance/identity_test.go
@@ -0,0 +1,178 @@
+package instance_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// anonymous presents no certificate and takes any.
+type anonymous struct{}
+
+func (anonymous) ServerTLS() *tls.Config { return &tls.Config{MinVersion: tls.VersionTLS13} }
+
+func (anonymous) ClientTLS(unit.Instance) *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, InsecureSkipVerify: true}
+}
+
+func (anonymous) Verify(tls.ConnectionState) (unit.Instance, error) { return "b", nil }
+
+func TestWrongCertificateGetsNothing(t *testing.T) {
+	ca := authority(t)
+	stranger := authority(t)
+	tests := map[string]struct {
+		self  unit.Instance
+		creds instance.Credentials
+	}{
+		"another authority":              {self: "a", creds: credentials(t, stranger, "a")},
+		"an instance not in the fleet":   {self: "x", creds: credentials(t, ca, "x")},
+		"no certificate":                 {self: "a", creds: anonymous{}},
+		"takes any server, own identity": {self: "a", creds: trusting{credentials(t, stranger, "a")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			served := false
+			b := start(t, credentials(t, ca, "b"), "b", map[unit.Instance]string{"a": loopback}, map[instance.Method]instance.Handler{
+				"Echo": func(context.Context, unit.Instance, []byte) ([]byte, error) {
+					served = true
+					return nil, nil
+				},
+			})
+			a := start(t, test.creds, test.self, map[unit.Instance]string{"b": b.Addr()}, nil)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := a.Call(ctx, "b", "Echo", nil)
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+			is.NoErr(b.Close())
+			is.True(!served)
+		})
+	}
+}
+
+// trusting takes any server but keeps its own certificate.
+type trusting struct{ instance.Credentials }
+
+func (t trusting) ClientTLS(id unit.Instance) *tls.Config {
+	c := t.Credentials.ClientTLS(id)
+	c.InsecureSkipVerify = true
+	return c
+}
+
+func (trusting) Verify(tls.ConnectionState) (unit.Instance, error) { return "b", nil }
+
+func TestServerOfAnotherNameGetsNothing(t *testing.T) {
+	is := is.New(t)
+	ca := authority(t)
+	c := start(t, credentials(t, ca, "c"), "c", map[unit.Instance]string{"a": loopback}, nil)
+	a := start(t, credentials(t, ca, "a"), "a", map[unit.Instance]string{"b": c.Addr()}, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := a.Call(ctx, "b", "Echo", nil)
+	is.True(!isDelivered(t, err))
+}
+
+func isDelivered(t testing.TB, err error) bool {
+	t.Helper()
+	call := (*instance.CallError)(nil)
+	if !errors.As(err, &call) {
+		t.Fatalf("got %v, want a CallError", err)
+	}
+	return call.Delivered
+}
+
+// folder holds the PEM files of an instance.
+type folder string
+
+func (f folder) files(t *testing.T, id string) *certifier.Files {
+	t.Helper()
+	files, err := certifier.NewFiles(f.path(certifier.AuthorityFile), f.path(id+".pem"), f.path(id+"-key.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func (f folder) path(name string) string { return filepath.Join(string(f), name) }
+
+func (f folder) read(t *testing.T, name string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(f.path(name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func (f folder) write(t *testing.T, name string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(f.path(name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAuthorityIsRotatedWithoutARestart replaces the authority and every
+// certificate while the instances run; at the end the old ones are worth
+// nothing, and a connection made with them is closed.
+func TestAuthorityIsRotatedWithoutARestart(t *testing.T) {
+	is := is.New(t)
+	shared, left := folder(t.TempDir()), folder(t.TempDir())
+	old, renewed := authority(t), authority(t)
+	is.NoErr(old.Write(string(shared), []unit.Instance{"a", "b"}))
+	is.NoErr(old.Write(string(left), []unit.Instance{"c"}))
+	oldRoot := shared.read(t, certifier.AuthorityFile)
+
+	handlers := map[instance.Method]instance.Handler{"Echo": echo}
+	b := startRechecking(t, shared.files(t, "b"), "b", map[unit.Instance]string{"a": loopback, "c": loopback}, handlers)
+	a := startRechecking(t, shared.files(t, "a"), "a", map[unit.Instance]string{"b": b.Addr()}, handlers)
+	c := startRechecking(t, left.files(t, "c"), "c", map[unit.Instance]string{"b": b.Addr()}, handlers)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	call := func(from *instance.Mesh) error {
+		_, err := from.Call(ctx, "b", "Echo", nil)
+		return err
+	}
+	is.NoErr(call(a))
+	is.NoErr(call(c))
+
+	// Write keeps the old authority's certificate beside the new one.
+	is.NoErr(renewed.Write(string(shared), []unit.Instance{"a", "b"}))
+	newRoot, found := bytes.CutSuffix(shared.read(t, certifier.AuthorityFile), oldRoot)
+	is.True(found)
+	is.NoErr(call(a))
+	is.NoErr(call(c))
+
+	shared.write(t, certifier.AuthorityFile, newRoot)
+	eventually(t, func() error {
+		if call(c) == nil {
+			return errors.New("the old certificate still counts")
+		}
+		return nil
+	})
+	// The connection of a was made under the old authority too; it comes back
+	// under the new one.
+	eventually(t, func() error { return call(a) })
+}
+
+func startRechecking(t *testing.T, creds instance.Credentials, self unit.Instance, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+	t.Helper()
+	return startWith(t, instance.Config{
+		Self:        self,
+		Listen:      loopback,
+		Peers:       peers,
+		Credentials: creds,
+		Recheck:     20 * clock.Millisecond,
+	}, handlers)
+}
--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -24,6 +24,10 @@
 // in a way that older instances can't read.
 const protocol = "chervilvane-mesh/1"
 
+// DefaultRecheck is the usual time between two checks of the connected peers'
+// certificates.
+const DefaultRecheck = 10 * clock.Second
+
 const (
 	// keepAlive is the time between signs of life on a connection without
 	// traffic. Only the side that dialled sends them.
@@ -78,9 +82,12 @@
 	Peers       map[unit.Instance]string
 	Credentials Credentials
 	Clock       clock.Clock
-	Logger      logrus.FieldLogger
-	Metrics     tally.Scope
-	Tracer      trace.Tracer
+	// Recheck is the time between two checks of the connected peers'
+	// certificates; 0 means DefaultRecheck.
+	Recheck clock.Millis
+	Logger  logrus.FieldLogger
+	Metrics tally.Scope
+	Tracer  trace.Tracer
 }
 
 // Mesh connects an instance to its peers.
@@ -112,6 +119,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = logger.Discard()
 	}
+	if cfg.Recheck == 0 {
+		cfg.Recheck = DefaultRecheck
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
@@ -172,6 +182,7 @@
 		return errors.CombineErrors(errors.Wrap(err, "listening on the mesh"), m.release())
 	}
 	m.group.Go(func() error { return m.accept(ln) })
+	m.group.Go(m.recheck)
 	for _, p := range m.peers {
 		m.group.Go(func() error { return m.keepConnected(p) })
 		m.group.Go(func() error { return m.sendNotes(p) })
--- a/instance/mesh_test.go
+++ b/instance/mesh_test.go
@@ -33,12 +33,12 @@
 // start runs a mesh until the test ends.
 func start(t testing.TB, creds instance.Credentials, self unit.Instance, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
 	t.Helper()
-	return startAt(t, creds, self, loopback, peers, handlers)
+	return startWith(t, instance.Config{Self: self, Listen: loopback, Peers: peers, Credentials: creds}, handlers)
 }
 
-func startAt(t testing.TB, creds instance.Credentials, self unit.Instance, listen string, peers map[unit.Instance]string, handlers map[instance.Method]instance.Handler) *instance.Mesh {
+func startWith(t testing.TB, cfg instance.Config, handlers map[instance.Method]instance.Handler) *instance.Mesh {
 	t.Helper()
-	m, err := instance.New(instance.Config{Self: self, Listen: listen, Peers: peers, Credentials: creds})
+	m, err := instance.New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,6 +55,26 @@
 	return m
 }
 
+// eventually repeats f until it returns nil.
+func eventually(t testing.TB, f func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	pause := time.NewTicker(5 * time.Millisecond)
+	defer pause.Stop()
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			t.Fatal(err)
+		}
+	}
+}
+
 func authority(t testing.TB) *certifier.Authority {
 	t.Helper()
 	a, err := certifier.NewAuthority()
--- a/instance/peer.go
+++ b/instance/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,13 @@
 	return p.look().conn
 }
 
+// all returns every connection, of which there are at most a few.
+func (p *peer) all() []*quic.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.conns)
+}
+
 func (p *peer) want() {
 	select {
 	case p.wanted <- struct{}{}:
@@ -221,6 +229,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "connecting to %s", p.id)
 	}
+	if err := m.verify(p.id, c); err != nil {
+		m.refuse(c, err)
+		return err
+	}
 	m.serve(p, c)
 	return nil
 }
--- a/instance/serve.go
+++ b/instance/serve.go
@@ -34,30 +34,6 @@
 	}
 }
 
-// admit serves a connection if its peer is an instance of the fleet.
-func (m *Mesh) admit(c *quic.Conn) {
-	p, err := m.identify(c)
-	if err != nil {
-		m.metrics.refusedPeers.Inc(1)
-		m.log.WithField(logger.FieldError, err.Error()).Warn("refused a connection of the mesh")
-		_ = c.CloseWithError(codeIdentity, "not an instance of this fleet")
-		return
-	}
-	m.serve(p, c)
-}
-
-func (m *Mesh) identify(c *quic.Conn) (*peer, error) {
-	id, err := m.cfg.Credentials.Verify(c.ConnectionState().TLS)
-	if err != nil {
-		return nil, err
-	}
-	p, known := m.peers[id]
-	if !known {
-		return nil, errors.Newf("instance %q isn't among the peers of the settings", string(id))
-	}
-	return p, nil
-}
-
 // serve registers a connection and starts to serve its calls and notes.
 func (m *Mesh) serve(p *peer, c *quic.Conn) {
 	p.add(c)
@@ -79,10 +55,7 @@
 
 func (m *Mesh) closeConnections() {
 	for _, p := range m.peers {
-		p.mu.Lock()
-		conns := append([]*quic.Conn(nil), p.conns...)
-		p.mu.Unlock()
-		for _, c := range conns {
+		for _, c := range p.all() {
 			_ = c.CloseWithError(codeClosing, "closing")
 		}
 	}
