--- a/runner/runner.go
+++ b/runner/runner.go
@@ -30,21 +30,27 @@
 	Credentials instance.Credentials
 	// LogTo gets the structured log.
 	LogTo io.Writer
+	// Extra adds parts that a test or the development instance needs.
+	Extra fx.Option
 }
 
 // New returns the daemon as an fx application.
 func New(settings loader.Settings, opts Options) *fx.App {
+	if opts.Extra == nil {
+		opts.Extra = fx.Options()
+	}
 	return fx.New(
 		fx.Supply(settings, opts, clock.Clock{}),
 		fx.Provide(
 			newLogger, newMeter, newTracer, newCredentials,
-			newMesh, newState, newLog, newProposer,
+			newMesh, newState, newLog,
 			newAuthenticator, newWithdrawer,
 			newElector, newUpstreams, newScheduler, newRouter,
 			newHealth, newVersions, newCallerServer, newOperatorServer, newHTTPServer,
 			newParts,
 		),
 		fx.Invoke(registerMethods, run),
+		opts.Extra,
 		fx.StopTimeout(settings.Timing.Drain.Duration()+stopGrace.Duration()),
 		fx.WithLogger(func(l *logrus.Logger) fxevent.Logger { return quietEvents{l} }),
 	)
