--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/certifier"
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/logger"
 	"github.com/chervilvane/chervilvane/unit"
 	"github.com/chervilvane/chervilvane/worker"
@@ -208,7 +209,7 @@
 	}
 	w := worker.New(worker.Config{
 		ID: unit.Upstream(id), AvailabilityZone: unit.AvailabilityZone(zone), Rack: "r1", Listen: "127.0.0.1:0",
-		Entries: entries, Run: run, Logger: logger.Discard(),
+		Entries: entries, Run: run, Logger: logger.Discard(), Drain: 200 * clock.Millisecond,
 		Holds: unit.Resources{CPU: 32 * unit.Core, Memory: 128 * unit.Gigabyte, Slots: 8, Connections: 64},
 	})
 	f.group.Go(func() error { return w.Run(f.ctx) })
