dispatcher, scheduler: run requests through queue, intent, lease and takeover

The dispatcher is a state machine of requests, attempts and tasks; it says NotRun only while no upstream can have run the request. The scheduler feeds it and the queue, and carries out what comes back. A new holder claims upstreams by its epoch, adopts what they run, and until the leases of older tasks have surely ended starts nothing that an earlier scheduler may have started.

--- a/dispatcher/report.go
+++ b/dispatcher/report.go
@@ -11,7 +11,10 @@
 	Upstream unit.Upstream
 	// Incarnation changes when the upstream process restarts; nothing that ran
 	// under an older one runs any more.
-	Incarnation      unit.Incarnation
+	Incarnation unit.Incarnation
+	// Sequence numbers the reports of an incarnation from 1, so that a late
+	// one isn't taken for news; 0 means that they aren't numbered.
+	Sequence         uint64
 	AvailabilityZone unit.AvailabilityZone
 	Rack             unit.Rack
 	// Address is the host and port of the upstream's HTTP interface.
@@ -80,9 +83,17 @@
 	// Expiry bounds how late the order may arrive, as a span that the sender
 	// counts from sending; an upstream refuses an order that waited longer.
 	Expiry clock.Millis
-	Need   unit.Resources
-	Resume bool
-	Data   []byte
+	// Incarnation is the life of the upstream that the order is meant for; any
+	// other refuses it.
+	Incarnation unit.Incarnation
+	// Sequence is the number of the latest report that the scheduler had when
+	// it sent the order. The upstream refuses the order once Expiry has passed
+	// since it sent that report, by its own clock: so an order that waited in
+	// a buffer while the upstream was paused is refused too.
+	Sequence uint64
+	Need     unit.Resources
+	Resume   bool
+	Data     []byte
 }
 
 // StartReply is an upstream's answer to a StartOrder. The set is closed:
--- a/dispatcher/request.go
+++ b/dispatcher/request.go
@@ -15,6 +15,10 @@
 	// Repeatable says that the work may be run again after an attempt whose
 	// end isn't known.
 	Repeatable bool
+	// Fresh says that this is surely the first send of an id that the entry
+	// made itself, so no earlier scheduler can have seen the request. It is
+	// never set on a resend, nor on an id that the caller chose.
+	Fresh bool
 	// Timeout is the time left until the caller's deadline. A span travels
 	// instead of a point in time, since clocks of instances differ.
 	Timeout clock.Millis
--- /dev/null
+++ b/scheduler/callers.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"hash/maphash"
+	"sync"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// callerShards spreads the waiting callers over locks of their own, so that
+// answers don't wait for the lock of the core.
+const callerShards = 64
+
+var callerSeed = maphash.MakeSeed()
+
+// callers are the callers that wait for the outcome of a request. The zero
+// value is ready.
+type callers struct {
+	shards [callerShards]callerShard
+}
+
+type callerShard struct {
+	mu      sync.Mutex
+	waiting map[unit.Request][]*caller
+}
+
+// caller waits for one outcome.
+type caller struct {
+	id      unit.Request
+	outcome chan dispatcher.Outcome
+	span    trace.SpanContext
+}
+
+func (c *callers) shard(id unit.Request) *callerShard {
+	return &c.shards[maphash.String(callerSeed, string(id))%callerShards]
+}
+
+func (c *callers) add(id unit.Request, span trace.SpanContext) *caller {
+	n := &caller{id: id, outcome: make(chan dispatcher.Outcome, 1), span: span}
+	sh := c.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.waiting == nil {
+		sh.waiting = map[unit.Request][]*caller{}
+	}
+	sh.waiting[id] = append(sh.waiting[id], n)
+	return n
+}
+
+// remove takes out a caller that waits no longer. It reports whether another
+// one waits for the same request.
+func (c *callers) remove(gone *caller) bool {
+	sh := c.shard(gone.id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	var rest []*caller
+	for _, w := range sh.waiting[gone.id] {
+		if w != gone {
+			rest = append(rest, w)
+		}
+	}
+	if len(rest) == 0 {
+		delete(sh.waiting, gone.id)
+		return false
+	}
+	sh.waiting[gone.id] = rest
+	return true
+}
+
+// tell gives the callers of a request its outcome.
+func (c *callers) tell(id unit.Request, o dispatcher.Outcome) {
+	sh := c.shard(id)
+	sh.mu.Lock()
+	waiting := sh.waiting[id]
+	delete(sh.waiting, id)
+	sh.mu.Unlock()
+	for _, w := range waiting {
+		w.outcome <- o
+	}
+}
+
+// span returns the span of a caller of the request, for the trace.
+func (c *callers) span(id unit.Request) trace.SpanContext {
+	sh := c.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if w := sh.waiting[id]; len(w) > 0 {
+		return w[0].span
+	}
+	return trace.SpanContext{}
+}
--- /dev/null
+++ b/scheduler/observer_test.go
@@ -0,0 +1,260 @@
+package scheduler
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// departureGrace is after how long a departing upstream gets nothing new.
+const departureGrace = 2 * time.Second
+
+// invariant numbers the points of what must always hold.
+type invariant int
+
+const (
+	capacity invariant = iota + 1
+	onePlace
+	keyedTeam
+	upperLimit
+	ownAnswer
+	truthfulNotRun
+	atMostOnce
+	departure
+	gracefulShutdown
+	noRevert
+)
+
+// observer stands outside the system: it sees what upstreams run and what
+// callers are told, and notes each violation of what must always hold.
+type observer struct {
+	mu         sync.Mutex
+	limits     map[unit.Team]unit.Resources
+	requests   map[unit.Request]*observedRequest
+	runs       []*observedRun
+	departed   map[unit.Upstream]time.Time
+	versions   map[unit.Instance]unit.Version
+	violations map[invariant][]string
+	// lastStart and longestGap measure the time without a start in zone a.
+	lastStart  time.Time
+	longestGap time.Duration
+}
+
+type observedRequest struct {
+	dispatcher.Request
+	sentAt time.Time
+	runs   int
+	// deniedAt is when a caller was told NotRun last.
+	deniedAt time.Time
+}
+
+type observedRun struct {
+	request  unit.Request
+	upstream *fakeUpstream
+	run      *fakeRun
+	begun    time.Time
+	ended    bool
+}
+
+func newObserver() *observer {
+	return &observer{
+		limits:     map[unit.Team]unit.Resources{},
+		requests:   map[unit.Request]*observedRequest{},
+		departed:   map[unit.Upstream]time.Time{},
+		versions:   map[unit.Instance]unit.Version{},
+		violations: map[invariant][]string{},
+	}
+}
+
+func (o *observer) violate(i invariant, format string, args ...any) {
+	o.violations[i] = append(o.violations[i], fmt.Sprintf(format, args...))
+}
+
+// submits notes that a caller sends a request.
+func (o *observer) submits(r dispatcher.Request) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := o.requests[r.ID]
+	if q == nil {
+		q = &observedRequest{Request: r}
+		o.requests[r.ID] = q
+	}
+	q.sentAt = time.Now()
+}
+
+// isActive reports whether a run may have an effect now. A frozen upstream's
+// runs have none once their lease has ended, since it looks at the lease first
+// when it goes on.
+func (r *observedRun) isActive() bool {
+	if r.ended {
+		return false
+	}
+	return !r.upstream.frozen.Load() || int64(r.upstream.w.millis()) < r.run.until.Load()
+}
+
+// begin notes a start. The upstream's lock is held.
+func (o *observer) begin(u *fakeUpstream, run *fakeRun) *observedRun {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	order := run.order
+	n := &observedRun{request: order.Request, upstream: u, run: run, begun: time.Now()}
+	q := o.requests[order.Request]
+	if q == nil {
+		o.violate(ownAnswer, "%s was never sent", order.Request)
+		q = &observedRequest{}
+	}
+	q.runs++
+	if q.runs > 1 && !q.Repeatable {
+		o.violate(atMostOnce, "%s isn't repeatable and runs for the %dth time", order.Request, q.runs)
+	}
+	if order.Team != q.Team {
+		o.violate(keyedTeam, "%s of team %s runs for team %s", order.Request, q.Team, order.Team)
+	}
+	if at, departs := o.departed[u.id]; departs && time.Since(at) > departureGrace {
+		o.violate(departure, "%s starts on %s, which departs since %v", order.Request, u.id, time.Since(at))
+	}
+	o.checkRunning(n)
+	o.runs = append(o.runs, n)
+	if u.zone == "a" {
+		if !o.lastStart.IsZero() {
+			o.longestGap = max(o.longestGap, time.Since(o.lastStart))
+		}
+		o.lastStart = time.Now()
+	}
+	return n
+}
+
+// checkRunning compares a start with what runs already.
+func (o *observer) checkRunning(n *observedRun) {
+	order := n.run.order
+	onUpstream, ofTeam := order.Need, order.Need
+	for _, r := range o.runs {
+		if !r.isActive() {
+			continue
+		}
+		if r.request == n.request {
+			o.violate(onePlace, "%s starts on %s and runs on %s", n.request, n.upstream.id, r.upstream.id)
+		}
+		if r.upstream == n.upstream {
+			onUpstream = onUpstream.Add(r.run.order.Need)
+		}
+		if r.run.order.Team == order.Team {
+			ofTeam = ofTeam.Add(r.run.order.Need)
+		}
+	}
+	if !onUpstream.Fits(n.upstream.holds) {
+		o.violate(capacity, "%s holds %+v and is given %+v", n.upstream.id, n.upstream.holds, onUpstream)
+	}
+	if limit, limited := o.limits[order.Team]; limited && !ofTeam.Fits(limit) {
+		o.violate(upperLimit, "team %s runs %+v with a limit of %+v", order.Team, ofTeam, limit)
+	}
+}
+
+func (o *observer) end(r *observedRun) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.ended = true
+}
+
+func (o *observer) departs(u unit.Upstream) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.departed[u] = time.Now()
+}
+
+// told notes what a caller was told.
+func (o *observer) told(id unit.Request, outcome dispatcher.Outcome) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := o.requests[id]
+	switch outcome := outcome.(type) {
+	case dispatcher.Done:
+		if !bytes.Equal(outcome.Answer, answerOf(id)) {
+			o.violate(ownAnswer, "%s was told %q", id, outcome.Answer)
+		}
+		if q.runs == 0 {
+			o.violate(ownAnswer, "%s is done and never ran", id)
+		}
+	case dispatcher.NotRun:
+		q.deniedAt = time.Now()
+		if q.runs > 0 {
+			o.violate(truthfulNotRun, "%s was told NotRun (%s) and ran", id, outcome.Reason)
+		}
+	case dispatcher.Unknown:
+	default:
+		o.violate(ownAnswer, "%s was told nothing", id)
+	}
+}
+
+// settle checks what only shows at the end.
+func (o *observer) settle() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.runs {
+		q := o.requests[r.request]
+		if q != nil && !q.deniedAt.IsZero() && r.begun.After(q.deniedAt) && q.sentAt.Before(q.deniedAt) {
+			o.violate(truthfulNotRun, "%s ran after its caller was told NotRun", r.request)
+		}
+	}
+}
+
+// observe looks at each command of the log.
+func (o *observer) observe(c registrar.Command, result registrar.Result) {
+	end, is := c.(registrar.EndRequest)
+	registered, ok := result.(registrar.Registered)
+	if !is || !ok || registered.Record.Open() {
+		return
+	}
+	outcome, err := dispatcher.UnmarshalOutcome(registered.Record.Outcome)
+	if _, notRun := outcome.(dispatcher.NotRun); err != nil || !notRun {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if q := o.requests[end.Request]; q != nil && q.runs > 0 {
+		o.violate(truthfulNotRun, "%s is recorded as NotRun and ran", end.Request)
+	}
+}
+
+// sawVersion notes the configuration that an instance runs.
+func (o *observer) sawVersion(_ *testing.T, n *node) {
+	_, version := n.state.Config()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if version < o.versions[n.name] && n.state.Index() > 0 && n.applied > 0 && version > 0 {
+		o.violate(noRevert, "%s went from version %d to %d", n.name, o.versions[n.name], version)
+	}
+	o.versions[n.name] = max(o.versions[n.name], version)
+}
+
+// ranFor returns how often a request ran.
+func (o *observer) ranFor(id unit.Request) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if q := o.requests[id]; q != nil {
+		return q.runs
+	}
+	return 0
+}
+
+// found returns all violations.
+func (o *observer) found() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var all []string
+	for i := capacity; i <= noRevert; i++ {
+		for _, v := range o.violations[i] {
+			all = append(all, fmt.Sprintf("point %d: %s", i, v))
+		}
+	}
+	return all
+}
+
+var _ = clock.Millisecond
--- /dev/null
+++ b/scheduler/run.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/queuer"
+)
+
+type queuerStatus = queuer.Status
+
+// statusTasks is how many waiting tasks a Status lists.
+const statusTasks = 50
+
+// errNotHolder is the answer to a report that must go to another instance.
+var errNotHolder = errors.New("this instance doesn't schedule the availability zone")
+
+// Run schedules until the context ends, and returns once its calls have ended.
+func (s *Scheduler) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery.Duration())
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		s.with(s.tick)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-s.wake:
+		}
+	}
+	s.cancel()
+	s.mu.Lock()
+	s.draining = true
+	s.core.lose(s.c.Clock.Now())
+	effects := s.core.decide(s.c.Clock.Now(), false)
+	s.mu.Unlock()
+	s.carryOut(effects)
+	s.busy.close()
+	return s.work.Wait()
+}
+
+// tick does the housekeeping that is due.
+func (s *Scheduler) tick(now clock.Millis) {
+	if now >= s.refreshAt {
+		s.refreshAt = now + refreshEvery
+		s.core.refresh()
+	}
+	if now >= s.restoreAt {
+		s.restoreAt = now + restoreEvery
+		s.core.restore(now)
+	}
+	s.core.d.Tick(now)
+}
+
+// Report takes what an upstream says of itself. The answer renews the leases
+// of its tasks, so only the holder of the zone gives one.
+func (s *Scheduler) Report(_ context.Context, r dispatcher.Report) (dispatcher.ReportReply, error) {
+	if r.AvailabilityZone != s.c.AvailabilityZone {
+		return dispatcher.ReportReply{}, errors.Newf("the upstream is in availability zone %s", r.AvailabilityZone)
+	}
+	var reply dispatcher.ReportReply
+	held := false
+	s.mu.Lock()
+	now := s.c.Clock.Now()
+	if s.follow(now) {
+		held = true
+		reply = s.core.report(now, r)
+	}
+	effects := s.core.decide(now, held)
+	s.mu.Unlock()
+	s.carryOut(effects)
+	if !held {
+		return dispatcher.ReportReply{}, errNotHolder
+	}
+	return reply, nil
+}
+
+// Drain stops taking and starting work and gives what waits back to its
+// callers, who send it to the zone's next scheduler. It returns once no start
+// is on its way and no end is left to record, or the context ends.
+func (s *Scheduler) Drain(ctx context.Context) {
+	s.mu.Lock()
+	now := s.c.Clock.Now()
+	s.draining = true
+	s.core.d.Drain(now)
+	effects := s.core.decide(now, false)
+	s.mu.Unlock()
+	s.carryOut(effects)
+	s.busy.wait(ctx)
+	s.mu.Lock()
+	s.core.lose(s.c.Clock.Now())
+	effects = s.core.decide(s.c.Clock.Now(), false)
+	s.mu.Unlock()
+	s.carryOut(effects)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,172 +1,166 @@
 // Package scheduler runs the work of one availability zone.
+//
+// Every entry instance has a Scheduler; it works while its Holder says that
+// this instance may start work in the zone. Its core is a state machine that
+// ties the dispatcher (what became of each request and task) to the queuer
+// (what starts next, and where). This package gives the core its events one at
+// a time and carries out what comes back: proposals to the log, orders to
+// upstreams, answers to callers.
+//
+// Whether the zone is still held is asked under the same lock that hands out
+// an order, as the last thing before the order leaves.
 package scheduler
 
 import (
 	"context"
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
-	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
+// Spans of the scheduler's housekeeping.
+const (
+	tickEvery    = 50 * clock.Millisecond
+	refreshEvery = 200 * clock.Millisecond
+	restoreEvery = 10 * clock.Second
+	// silence is the time without a report after which an upstream gets
+	// nothing new, and without a lease after which the callers are sent to
+	// the zone's next scheduler.
+	silence   = 2 * clock.Second
+	keepEnded = 10 * clock.Minute
+)
+
+// Bounds of the dispatcher.
+const (
+	maxEnded    = 100_000
+	maxAttempts = 10
+)
+
 // Scheduler runs the work of one availability zone while its Holder allows it.
 type Scheduler struct {
-	c  Config
-	mu sync.Mutex
-	// workers are the upstreams that reported.
-	workers  map[unit.Upstream]dispatcher.Report
-	calls    map[unit.Request]*call
+	c Config
+	// mu guards core and what follows.
+	mu   sync.Mutex
+	core *core
+	// heldAt is when the zone was last seen to be held.
+	heldAt   clock.Millis
 	draining bool
-	active   sync.WaitGroup
-}
-
-type call struct {
-	done    chan struct{}
-	outcome dispatcher.Outcome
+	// refreshAt and restoreAt are when the log's state is looked at again.
+	refreshAt clock.Millis
+	restoreAt clock.Millis
+
+	callers callers
+	records records
+	// work holds the calls to upstreams and the log.
+	work errgroup.Group
+	busy busy
+	// ctx ends when Run ends; work that outlives the call that caused it uses
+	// it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
 }
 
-// New returns a Scheduler; Run starts it.
+// New returns a Scheduler; Run starts it. It must be made before the log is
+// started, since it watches the state.
 func New(c Config) *Scheduler {
-	return &Scheduler{c: c, workers: map[unit.Upstream]dispatcher.Report{}, calls: map[unit.Request]*call{}}
-}
-
-// Run schedules until the context ends.
-func (s *Scheduler) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		<-ctx.Done()
-		return nil
-	})
-	return g.Wait()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Scheduler{
+		c: c,
+		core: newCore(c.AvailabilityZone, c.State, dispatcher.Config{
+			TaskLease:   c.TaskLease,
+			Silence:     silence,
+			KeepEnded:   keepEnded,
+			MaxEnded:    maxEnded,
+			MaxAttempts: maxAttempts,
+			NewTask:     func() unit.Task { return unit.Task(uuid.NewString()) },
+		}),
+		ctx:    ctx,
+		cancel: cancel,
+		wake:   make(chan struct{}, 1),
+	}
+	c.State.Subscribe(func(replicator.Index) { s.wakeUp() })
+	return s
 }
 
-// Submit runs a request and waits for its outcome. A resend with the same id
-// joins the first and gets the same answer.
-func (s *Scheduler) Submit(ctx context.Context, r dispatcher.Request) dispatcher.Outcome {
-	s.mu.Lock()
-	if s.draining {
-		s.mu.Unlock()
-		return dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonShuttingDown}}
-	}
-	c, known := s.calls[r.ID]
-	if !known {
-		c = &call{done: make(chan struct{})}
-		s.calls[r.ID] = c
-		s.active.Add(1)
-	}
-	s.mu.Unlock()
-	if known {
-		<-c.done
-		return c.outcome
+func (s *Scheduler) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
-	defer s.active.Done()
-	c.outcome = s.start(ctx, r)
-	close(c.done)
-	return c.outcome
 }
 
-func (s *Scheduler) start(ctx context.Context, r dispatcher.Request) dispatcher.Outcome {
-	epoch, ok := s.c.Holder.MayStart(s.c.Clock.Now())
-	if !ok {
-		return dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonNoScheduler}}
-	}
-	order := dispatcher.StartOrder{
-		Task: unit.Task(uuid.NewString()), Request: r.ID, Team: r.Team, Epoch: epoch,
-		Lease: s.c.TaskLease, Expiry: s.c.TaskLease, Data: r.Data,
-	}
+// with gives the core an event and carries out what comes back. The event may
+// be nil.
+func (s *Scheduler) with(event func(now clock.Millis)) {
 	s.mu.Lock()
-	address := ""
-	for _, w := range s.workers {
-		if !w.Departing {
-			address = w.Address
-		}
+	now := s.c.Clock.Now()
+	mayStart := s.follow(now)
+	if event != nil {
+		event(now)
 	}
+	effects := s.core.decide(now, mayStart)
 	s.mu.Unlock()
-	if address == "" {
-		return dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonOverloaded, Detail: "no upstream has room"}}
-	}
-	reply, err := s.c.Upstreams.Start(ctx, address, order)
-	if notSent := (*dispatcher.NotSentError)(nil); errors.As(err, &notSent) {
-		return dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonUpstreamLost}}
-	}
-	switch reply := reply.(type) {
-	case dispatcher.Finished:
-		return reply.Done
-	case dispatcher.Refused:
-		return dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonUpstreamRefused, Detail: reply.Detail}}
-	default:
-		return dispatcher.Unknown{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonUpstreamLost}}
-	}
+	s.carryOut(effects)
 }
 
-// Accept makes a request durable; it runs later. The Outcome says why it
-// wasn't accepted.
-func (s *Scheduler) Accept(ctx context.Context, r dispatcher.Request) (bool, dispatcher.Outcome) {
-	_, err := s.c.Propose(ctx, registrar.AcceptRequest{Request: r, AvailabilityZone: s.c.AvailabilityZone, At: s.c.Clock.Now()})
-	if err != nil {
-		return false, dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonLogUnreachable}}
+// follow begins or ends the schedule of the zone as the holder says, and
+// reports whether work may be started now. The caller holds the lock.
+func (s *Scheduler) follow(now clock.Millis) bool {
+	epoch, holds := s.holds(now)
+	if holds {
+		s.heldAt = now
+		if epoch != s.core.d.Epoch() {
+			s.c.Logger.WithField("Epoch", epoch).Info("scheduling the availability zone")
+			s.core.hold(now, epoch)
+			s.restoreAt = now + restoreEvery
+		}
+		return true
 	}
-	return true, nil
-}
-
-// Result tells what is known of a request.
-func (s *Scheduler) Result(_ context.Context, id unit.Request) Standing {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c, ok := s.calls[id]
-	if !ok {
-		return Unheard{}
+	held := s.core.d.Epoch()
+	if held == 0 {
+		return false
 	}
-	select {
-	case <-c.done:
-		return Ended{c.outcome}
-	default:
-		return Pending{}
+	if s.draining || s.c.State.Zone(s.c.AvailabilityZone).Epoch > held || now >= s.heldAt+silence {
+		s.c.Logger.WithField("Epoch", held).Info("no longer scheduling the availability zone")
+		s.core.lose(now)
 	}
+	return false
 }
 
-// Cancel asks for the end of a request and tells how it then stands.
-func (s *Scheduler) Cancel(ctx context.Context, id unit.Request) Standing {
-	return s.Result(ctx, id)
+// holds reports whether this instance may schedule the zone now. It waits until
+// its copy of the log holds the epoch, and with it every intent that an earlier
+// scheduler was granted.
+func (s *Scheduler) holds(now clock.Millis) (unit.Epoch, bool) {
+	epoch, ok := s.c.Holder.MayStart(now)
+	caughtUp := s.c.State.Zone(s.c.AvailabilityZone).Epoch >= epoch
+	return epoch, ok && caughtUp && !s.draining && !s.isLost()
 }
 
-// Report takes what an upstream says of itself.
-func (s *Scheduler) Report(_ context.Context, r dispatcher.Report) (dispatcher.ReportReply, error) {
-	epoch, ok := s.c.Holder.MayStart(s.c.Clock.Now())
-	if !ok {
-		return dispatcher.ReportReply{}, errors.New("this instance doesn't schedule the zone")
+// isLost reports whether the operators declared this zone lost: others count
+// on nothing running here any more.
+func (s *Scheduler) isLost() bool {
+	config, _ := s.c.State.Config()
+	for _, z := range config.AvailabilityZones {
+		if z.Name == s.c.AvailabilityZone {
+			return z.Lost
+		}
 	}
-	s.mu.Lock()
-	s.workers[r.Upstream] = r
-	s.mu.Unlock()
-	return dispatcher.ReportReply{Epoch: epoch, Lease: s.c.TaskLease}, nil
+	return false
 }
 
 // Status is what the scheduler shows to operators.
-type Status struct {
-	Upstreams []dispatcher.Report
-}
+type Status = queuerStatus
 
 // Status returns the scheduler's view of its zone.
 func (s *Scheduler) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var st Status
-	for _, w := range s.workers {
-		st.Upstreams = append(st.Upstreams, w)
-	}
-	return st
-}
-
-// Drain stops taking work and waits for the calls in progress.
-func (s *Scheduler) Drain(context.Context) {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.active.Wait()
+	return s.core.q.Status(statusTasks)
 }
--- /dev/null
+++ b/scheduler/upstream_test.go
@@ -0,0 +1,359 @@
+package scheduler
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const reportEvery = 300 * time.Millisecond
+
+// openCall is how long the call of a start waits for the task's end.
+const openCall = 500 * time.Millisecond
+
+// fakeUpstream runs tasks for as long as their data says. It keeps to the
+// contract of orders: epochs, incarnations, expiry and leases.
+type fakeUpstream struct {
+	w    *world
+	id   unit.Upstream
+	zone unit.AvailabilityZone
+
+	frozen atomic.Bool
+
+	mu          sync.Mutex
+	incarnation int
+	sequence    uint64
+	// sentAt is when each report of this incarnation was sent.
+	sentAt    map[uint64]clock.Millis
+	epoch     unit.Epoch
+	holds     unit.Resources
+	running   map[unit.Task]*fakeRun
+	ended     map[unit.Task]dispatcher.Ended
+	known     map[unit.Task]bool
+	departing bool
+	dead      bool
+	// double and late change the next order of the watched request.
+	double bool
+	late   time.Duration
+}
+
+type fakeRun struct {
+	order dispatcher.StartOrder
+	until atomic.Int64
+	stop  chan struct{}
+	done  chan struct{}
+	obs   *observedRun
+}
+
+func (w *world) addUpstream(id unit.Upstream, zone unit.AvailabilityZone, holds unit.Resources) *fakeUpstream {
+	u := &fakeUpstream{w: w, id: id, zone: zone, holds: holds}
+	u.reset()
+	w.ups[id] = u
+	w.group.Go(u.run)
+	return u
+}
+
+// reset starts a new incarnation, on which nothing runs.
+func (u *fakeUpstream) reset() {
+	u.incarnation++
+	u.sequence = 0
+	u.epoch = 0
+	u.sentAt = map[uint64]clock.Millis{}
+	u.running = map[unit.Task]*fakeRun{}
+	u.ended = map[unit.Task]dispatcher.Ended{}
+	u.known = map[unit.Task]bool{}
+}
+
+func (u *fakeUpstream) isDead() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dead
+}
+
+func (u *fakeUpstream) thaw() {
+	for u.frozen.Load() && u.w.ctx.Err() == nil {
+		time.Sleep(step)
+	}
+}
+
+// kill ends the process and all it runs.
+func (u *fakeUpstream) kill() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dead = true
+	for _, r := range u.running {
+		u.w.obs.end(r.obs)
+	}
+}
+
+func (u *fakeUpstream) restart() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dead = false
+	u.reset()
+}
+
+func (u *fakeUpstream) depart() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.departing = true
+	u.w.obs.departs(u.id)
+}
+
+func (u *fakeUpstream) setHolds(holds unit.Resources) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.holds = holds
+}
+
+func (u *fakeUpstream) copies(r unit.Request) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.double && r == u.w.watched {
+		u.double = false
+		return 2
+	}
+	return 1
+}
+
+func (u *fakeUpstream) delay(r unit.Request) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if r != u.w.watched {
+		return 0
+	}
+	d := u.late
+	u.late = 0
+	return d
+}
+
+// run reports again and again, and ends tasks whose lease ran out.
+func (u *fakeUpstream) run() error {
+	next := time.Now()
+	for u.w.ctx.Err() == nil {
+		time.Sleep(step)
+		u.thaw()
+		u.expire()
+		if !u.isDead() && !time.Now().Before(next) {
+			next = time.Now().Add(reportEvery)
+			u.w.group.Go(func() error {
+				u.report()
+				return nil
+			})
+		}
+	}
+	return nil
+}
+
+func (u *fakeUpstream) expire() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, r := range u.running {
+		if int64(u.w.millis()) >= r.until.Load() {
+			r.halt()
+		}
+	}
+}
+
+func (r *fakeRun) halt() {
+	select {
+	case <-r.stop:
+	default:
+		close(r.stop)
+	}
+}
+
+// report sends one report by way of any entry instance of the zone.
+func (u *fakeUpstream) report() {
+	r, sentAt := u.describe()
+	reply, ok := u.w.forward(u, r)
+	if !ok {
+		return
+	}
+	u.thaw()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dead || string(r.Incarnation) != strconv.Itoa(u.incarnation) || reply.Epoch < u.epoch {
+		return
+	}
+	claimed := reply.Epoch > u.epoch
+	u.epoch = reply.Epoch
+	stop := map[unit.Task]bool{}
+	for _, o := range reply.Stop {
+		stop[o.Task] = true
+		if run := u.running[o.Task]; run != nil {
+			run.halt()
+		}
+	}
+	for _, s := range r.Running {
+		if run := u.running[s.Task]; run != nil && !stop[s.Task] && int64(u.w.millis()) < run.until.Load() {
+			run.until.Store(max(run.until.Load(), int64(sentAt+reply.Lease)))
+		}
+	}
+	for _, id := range reply.Forget {
+		delete(u.ended, id)
+	}
+	if claimed {
+		// The new scheduler learns at once that it is known here.
+		u.w.group.Go(func() error {
+			u.report()
+			return nil
+		})
+	}
+}
+
+func (u *fakeUpstream) describe() (dispatcher.Report, clock.Millis) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sequence++
+	now := u.w.millis()
+	u.sentAt[u.sequence] = now
+	r := dispatcher.Report{
+		Upstream: u.id, Incarnation: unit.Incarnation(strconv.Itoa(u.incarnation)), Sequence: u.sequence,
+		AvailabilityZone: u.zone, Rack: unit.Rack(u.id), Address: string(u.id), Holds: u.holds,
+		Departing: u.departing, Epoch: u.epoch,
+	}
+	for id, run := range u.running {
+		r.Running = append(r.Running, dispatcher.Running{
+			Task: id, Request: run.order.Request, Team: run.order.Team, Epoch: run.order.Epoch, Need: run.order.Need, Usage: run.order.Need,
+		})
+	}
+	for _, e := range u.ended {
+		r.Ended = append(r.Ended, e)
+	}
+	return r, now
+}
+
+// start carries out an order. It returns nil if the answer doesn't leave.
+func (u *fakeUpstream) start(o dispatcher.StartOrder) dispatcher.StartReply {
+	u.thaw()
+	u.mu.Lock()
+	if u.dead {
+		u.mu.Unlock()
+		return nil
+	}
+	if run := u.running[o.Task]; run != nil {
+		u.mu.Unlock()
+		return u.await(o, run)
+	}
+	if e, is := u.ended[o.Task]; is {
+		u.mu.Unlock()
+		return reply(e)
+	}
+	if why := u.refusal(o); why != "" {
+		defer u.mu.Unlock()
+		u.known[o.Task] = true
+		return dispatcher.Refused{Detail: why, Epoch: u.epoch}
+	}
+	u.known[o.Task] = true
+	u.epoch = o.Epoch
+	run := &fakeRun{order: o, stop: make(chan struct{}), done: make(chan struct{})}
+	run.until.Store(int64(u.w.millis() + o.Lease))
+	run.obs = u.w.obs.begin(u, run)
+	u.running[o.Task] = run
+	u.mu.Unlock()
+	u.w.reached(started, o.Request)
+	u.w.group.Go(func() error {
+		u.execute(run)
+		return nil
+	})
+	return u.await(o, run)
+}
+
+func (u *fakeUpstream) refusal(o dispatcher.StartOrder) string {
+	sentAt, known := u.sentAt[o.Sequence]
+	switch {
+	case u.w.flaw.lateOrders:
+		return ""
+	case u.known[o.Task]:
+		return "the task was here before"
+	case o.Epoch < u.epoch:
+		return "older epoch"
+	case string(o.Incarnation) != strconv.Itoa(u.incarnation):
+		return "another incarnation"
+	case !known || u.w.millis() > sentAt+o.Expiry:
+		return "the order is too old"
+	case u.departing:
+		return "departing"
+	}
+	return ""
+}
+
+// execute runs a task to its end. The data of an order is the run time in
+// milliseconds.
+func (u *fakeUpstream) execute(run *fakeRun) {
+	span, err := strconv.Atoi(string(run.order.Data))
+	if err != nil {
+		panic(err)
+	}
+	timer := time.NewTimer(time.Duration(span) * time.Millisecond)
+	defer timer.Stop()
+	e := dispatcher.Ended{Task: run.order.Task, Request: run.order.Request, Team: run.order.Team}
+	select {
+	case <-timer.C:
+		e.Done = dispatcher.Done{Answer: answerOf(run.order.Request)}
+	case <-run.stop:
+		e.Stopped = true
+	case <-u.w.ctx.Done():
+		return
+	}
+	if u.frozen.Load() {
+		u.thaw()
+		if int64(u.w.millis()) >= run.until.Load() {
+			e = dispatcher.Ended{Task: e.Task, Request: e.Request, Team: e.Team, Stopped: true}
+		}
+	}
+	u.w.reached(finished, run.order.Request)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.running[run.order.Task] == run {
+		u.w.obs.end(run.obs)
+		delete(u.running, run.order.Task)
+		u.ended[run.order.Task] = e
+	}
+	close(run.done)
+}
+
+// await waits for a task's end while the call may stay open.
+func (u *fakeUpstream) await(o dispatcher.StartOrder, run *fakeRun) dispatcher.StartReply {
+	ctx, cancel := context.WithTimeout(u.w.ctx, openCall)
+	defer cancel()
+	select {
+	case <-run.done:
+	case <-ctx.Done():
+	}
+	u.thaw()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dead {
+		return nil
+	}
+	if e, is := u.ended[o.Task]; is {
+		return reply(e)
+	}
+	return dispatcher.Started{}
+}
+
+func reply(e dispatcher.Ended) dispatcher.StartReply {
+	if e.Stopped {
+		return dispatcher.Started{}
+	}
+	return dispatcher.Finished{Done: e.Done}
+}
+
+func (u *fakeUpstream) stop(o dispatcher.StopOrder) {
+	u.thaw()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if run := u.running[o.Task]; run != nil {
+		run.halt()
+	}
+}
+
+func answerOf(r unit.Request) []byte { return []byte("answer to " + string(r)) }
