registrar: apply a release of an allotment only at its change number

Cause: a release whose answer was lost may be applied after the zone acquired and spent the part again; limiter's property found it, the command had no number to tell. Change: the command carries the number, the result gives it back; a resend is now harmless, so the proposer repeats it. TestLateReleaseChangesNothing.

--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -125,7 +125,7 @@
 // idempotent reports whether applying a command twice equals applying it once.
 func idempotent(c registrar.Command) bool {
 	switch c := c.(type) {
-	case registrar.AcquireAllotment, registrar.ReleaseAllotment:
+	case registrar.AcquireAllotment:
 		return false
 	case registrar.PutConfig:
 		return c.ID != ""
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -88,7 +88,7 @@
 func TestMalformedReplyIsUnknown(t *testing.T) {
 	is := is.New(t)
 	p := proposer.New(proposer.Config{Self: "e1", Voters: []unit.Instance{"v1"}, Call: garbled{}})
-	_, err := p.Propose(context.Background(), registrar.ReleaseAllotment{})
+	_, err := p.Propose(context.Background(), registrar.AcquireAllotment{})
 	var u *replicator.UnknownResultError
 	is.True(errors.As(err, &u))
 }
--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -146,14 +146,16 @@
 	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
 		return fenced
 	}
-	return Allotted{Amount: r.st.Fleet.Acquire(c.AvailabilityZone, c.Team, c.Want)}
+	amount := r.st.Fleet.Acquire(c.AvailabilityZone, c.Team, c.Want)
+	return Allotted{Amount: amount, Change: r.st.Fleet.Change(c.AvailabilityZone, c.Team)}
 }
 
 func (r *Registrar) release(c ReleaseAllotment) Result {
 	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
 		return fenced
 	}
-	return Allotted{Amount: r.st.Fleet.Release(c.AvailabilityZone, c.Team, c.Amount)}
+	amount := r.st.Fleet.ReleaseAt(c.AvailabilityZone, c.Team, c.Amount, c.Change)
+	return Allotted{Amount: amount, Change: r.st.Fleet.Change(c.AvailabilityZone, c.Team)}
 }
 
 func (r *Registrar) accept(c AcceptRequest) Result {
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -62,13 +62,15 @@
 	Want             unit.Resources
 }
 
-// ReleaseAllotment gives a part of a zone's allotment back. Result: Allotted
-// or Fenced.
+// ReleaseAllotment gives a part of a zone's allotment back, if the allotment's
+// change number is still Change: a release that arrives late or twice changes
+// nothing. Result: Allotted or Fenced.
 type ReleaseAllotment struct {
 	AvailabilityZone unit.AvailabilityZone
 	Epoch            unit.Epoch
 	Team             unit.Team
 	Amount           unit.Resources
+	Change           uint64
 }
 
 // AcceptRequest makes a request durable before its caller is told that it was
@@ -157,8 +159,12 @@
 	Holder unit.Instance
 }
 
-// Allotted is a zone's allotment of a team's limit after the command.
-type Allotted struct{ Amount unit.Resources }
+// Allotted is a zone's allotment of a team's limit after the command, and its
+// change number.
+type Allotted struct {
+	Amount unit.Resources
+	Change uint64
+}
 
 // Registered is the record of a request after the command.
 type Registered struct {
--- a/registrar/query.go
+++ b/registrar/query.go
@@ -66,6 +66,14 @@
 	return r.st.Fleet.Allotments(az)
 }
 
+// AllotmentChange returns the change number of a zone's allotment of a team's
+// limit.
+func (r *Registrar) AllotmentChange(az unit.AvailabilityZone, team unit.Team) uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Change(az, team)
+}
+
 // Excess returns how much of each team's allotment in a zone must be given
 // back since the team's limit was lowered.
 func (r *Registrar) Excess(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -139,6 +139,23 @@
 	is.Equal(end(dispatcher.Done{Answer: []byte("second")}), dispatcher.Outcome(first))
 }
 
+func TestLateReleaseChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	s.do(registrar.PutConfig{Text: text(1)})
+	s.do(registrar.TakeZone{AvailabilityZone: "a", Instance: "i1"})
+	held := s.Allotments("a")["t0"]
+	release := registrar.ReleaseAllotment{
+		AvailabilityZone: "a", Epoch: 1, Team: "t0", Amount: unit.Resources{Slots: 2}, Change: s.AllotmentChange("a", "t0"),
+	}
+	first := s.do(release).(registrar.Allotted)
+	is.Equal(first.Amount.Slots, held.Slots-2)
+	is.Equal(s.do(release).(registrar.Allotted), first) // a resend
+	again := s.do(registrar.AcquireAllotment{AvailabilityZone: "a", Epoch: 1, Team: "t0", Want: unit.Resources{Slots: 2}}).(registrar.Allotted)
+	is.Equal(again.Amount.Slots, held.Slots)
+	is.Equal(s.do(release).(registrar.Allotted), again) // late, after the part was acquired again
+}
+
 func TestEndedRecordsAreForgotten(t *testing.T) {
 	is := is.New(t)
 	s := newState()
@@ -168,7 +185,7 @@
 		registrar.WithdrawKey{Key: key, At: at},
 		registrar.TakeZone{AvailabilityZone: az, Instance: "i", Prior: epoch, At: at},
 		registrar.AcquireAllotment{AvailabilityZone: az, Epoch: epoch, Team: "t0", Want: amount},
-		registrar.ReleaseAllotment{AvailabilityZone: az, Epoch: epoch, Team: "t0", Amount: amount},
+		registrar.ReleaseAllotment{AvailabilityZone: az, Epoch: epoch, Team: "t0", Amount: amount, Change: uint64(rapid.IntRange(0, 6).Draw(t, "change"))},
 		registrar.AcceptRequest{Request: dispatcher.Request{ID: id}, AvailabilityZone: az, At: at},
 		registrar.IntendStart{Request: dispatcher.Request{ID: id}, AvailabilityZone: az, Epoch: epoch, Task: task, At: at},
 		registrar.RefuseStart{Request: id, AvailabilityZone: az, Epoch: epoch, Task: task},
