router, worker: move work of a zone that can't serve, refuse orders from stale reports

A request whose id this instance made itself goes to another zone when its own surely didn't take it; a caller's id keeps its home.

--- a/caller/server.go
+++ b/caller/server.go
@@ -35,7 +35,7 @@
 // Router is what the server needs of the router.
 type Router interface {
 	NewID() string
-	Submit(ctx context.Context, s router.Submission) (outcome dispatcher.Outcome, accepted bool)
+	Submit(ctx context.Context, s router.Submission) (id string, outcome dispatcher.Outcome, accepted bool)
 	Result(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error)
 	Cancel(ctx context.Context, callerID string, id unit.Request) (scheduler.Standing, error)
 }
@@ -85,7 +85,8 @@
 		writeNotRun(w, body.ID, refusal)
 		return
 	}
-	if body.ID == "" {
+	generated := body.ID == ""
+	if generated {
 		body.ID = s.c.Router.NewID()
 	}
 	sub, refusal, ok := s.admit(r, body)
@@ -93,15 +94,16 @@
 		writeNotRun(w, body.ID, refusal)
 		return
 	}
+	sub.Generated = generated
 	s.c.Logger.WithFields(logrus.Fields{
 		"Request": sub.Request.ID, "Queue": body.Queue, "Trace": span.SpanContext().TraceID().String(),
 	}).Debug("request admitted")
-	outcome, accepted := s.c.Router.Submit(ctx, sub)
+	id, outcome, accepted := s.c.Router.Submit(ctx, sub)
 	if accepted {
-		WriteJSON(w, http.StatusAccepted, struct{ ID, Outcome string }{body.ID, "Accepted"})
+		WriteJSON(w, http.StatusAccepted, struct{ ID, Outcome string }{id, "Accepted"})
 		return
 	}
-	writeOutcome(w, body.ID, outcome)
+	writeOutcome(w, id, outcome)
 }
 
 // incoming returns the request's context with the caller's trace, if it sent
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -36,9 +36,9 @@
 
 func (f *fakeRouter) NewID() string { return "a.fresh" }
 
-func (f *fakeRouter) Submit(_ context.Context, s router.Submission) (dispatcher.Outcome, bool) {
+func (f *fakeRouter) Submit(_ context.Context, s router.Submission) (string, dispatcher.Outcome, bool) {
 	f.got = append(f.got, s)
-	return dispatcher.Done{Answer: []byte(s.Request.ID)}, s.Async
+	return s.CallerID, dispatcher.Done{Answer: []byte(s.Request.ID)}, s.Async
 }
 
 func (f *fakeRouter) Result(_ context.Context, _ string, id unit.Request) (scheduler.Standing, error) {
--- a/registrar/query.go
+++ b/registrar/query.go
@@ -82,6 +82,14 @@
 	return r.st.Fleet.Excess(az)
 }
 
+// Wanted returns what other zones asked for in vain of each team's limit; a
+// zone with spare parts of its allotment gives them back.
+func (r *Registrar) Wanted(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Wanted(az)
+}
+
 // Record returns what the log holds of a request.
 func (r *Registrar) Record(id unit.Request) (Record, bool) {
 	r.mu.RLock()
--- a/router/retry.go
+++ b/router/retry.go
@@ -84,4 +84,4 @@
 	return true
 }
 
-func (g *gate) leave(bool) { g.inside.Add(-1) }
+func (g *gate) leave() { g.inside.Add(-1) }
--- a/router/router.go
+++ b/router/router.go
@@ -81,15 +81,14 @@
 	// CallerID is the id that the caller chose, or that this instance chose
 	// for it. Request.ID is the scoped form.
 	CallerID string
+	// Generated says that this instance chose CallerID for this submission, so
+	// nobody can have sent it before, and it may be replaced by another.
+	Generated bool
 	// Async asks for acceptance only; the result is fetched later.
 	Async  bool
 	Urgent bool
 }
 
-// Accepted is the outcome of an asynchronous submission that is now durable.
-// It is not a dispatcher.Outcome, since the request isn't at its end.
-type Accepted struct{}
-
 // NewID returns an id whose home is this instance's zone, or another live zone
 // if this one is declared lost or isn't configured.
 func (r *Router) NewID() string {
@@ -108,9 +107,10 @@
 	return id
 }
 
-// Submit runs a request and returns its outcome. accepted is true for an
-// asynchronous request that was made durable; the outcome is then nil.
-func (r *Router) Submit(ctx context.Context, s Submission) (outcome dispatcher.Outcome, accepted bool) {
+// Submit runs a request and returns its outcome, under the id that it had in
+// the end. accepted is true for an asynchronous request that was made durable;
+// the outcome is then nil.
+func (r *Router) Submit(ctx context.Context, s Submission) (id string, outcome dispatcher.Outcome, accepted bool) {
 	ctx, span := r.c.Tracer.Start(ctx, "router.Submit", trace.WithAttributes(
 		attribute.String("request", string(s.Request.ID)),
 		attribute.String("queue", string(s.Request.Queue)),
@@ -118,15 +118,28 @@
 	defer span.End()
 	if !r.gate.enter(s.Urgent) {
 		r.c.Metrics.Counter("shed").Inc(1)
-		return overloaded(), false
+		return s.CallerID, overloaded(), false
 	}
-	defer r.gate.leave(s.Urgent)
+	defer r.gate.leave()
 	home, ok := r.home(s.CallerID)
 	if !ok {
-		return noConfiguration(), false
+		return s.CallerID, noConfiguration(), false
+	}
+	s.Request.Fresh = s.Generated
+	deadline := r.c.Clock.Now() + s.Request.Timeout
+	ctx, cancel := context.WithTimeout(ctx, s.Request.Timeout.Duration())
+	defer cancel()
+	r.budget.sent()
+	outcome, accepted = r.submitAt(ctx, home, s, deadline)
+	for _, other := range r.elsewhere(home, s, outcome) {
+		s = s.rename(other)
+		r.c.Metrics.Counter("moved").Inc(1)
+		outcome, accepted = r.submitAt(ctx, other, s, deadline)
+		if accepted || !mayMove(outcome) {
+			break
+		}
 	}
-	span.SetAttributes(attribute.String("home", string(home)))
-	return r.submitAt(ctx, home, s)
+	return s.CallerID, outcome, accepted
 }
 
 func (r *Router) home(callerID string) (unit.AvailabilityZone, bool) {
@@ -139,19 +152,21 @@
 
 // submitAt sends the request to the scheduler of a zone until there is an
 // answer, the deadline has passed or the budget of retries is used up.
-func (r *Router) submitAt(ctx context.Context, home unit.AvailabilityZone, s Submission) (dispatcher.Outcome, bool) {
-	deadline := r.c.Clock.Now() + s.Request.Timeout
-	ctx, cancel := context.WithTimeout(ctx, s.Request.Timeout.Duration())
-	defer cancel()
-	r.budget.sent()
+func (r *Router) submitAt(ctx context.Context, home unit.AvailabilityZone, s Submission, deadline clock.Millis) (dispatcher.Outcome, bool) {
 	uncertain := false
+	movable := r.isMovable(home, s)
 	for attempt := 0; ; attempt++ {
 		s.Request.Timeout = deadline - r.c.Clock.Now()
 		reply, err := r.send(ctx, home, s)
-		if err == nil && !reply.NotHolder {
-			return settle(reply, uncertain && s.Request.Repeatable)
+		outcome, accepted, answered := settle(reply, err, uncertain && s.Request.Repeatable)
+		if answered && (accepted || !dispatcher.IsMoved(outcome)) {
+			return outcome, accepted
+		}
+		uncertain = uncertain || mayBeDelivered(err) || isUnknown(outcome)
+		s.Request.Fresh = s.Request.Fresh && !uncertain
+		if movable && !uncertain && attempt >= attemptsBeforeMove {
+			return unanswered(home, uncertain, err), false
 		}
-		uncertain = uncertain || mayBeDelivered(err)
 		if !r.budget.retry(s.Urgent) || backoff(ctx, attempt) != nil {
 			return unanswered(home, uncertain, err), false
 		}
@@ -159,21 +174,30 @@
 	}
 }
 
-// settle turns a scheduler's reply into an outcome. After a send that may have
-// reached an earlier scheduler, that one may have run repeatable work without a
-// trace in the log, so the present one's NotRun isn't the whole truth.
-func settle(reply submitReply, uncertain bool) (dispatcher.Outcome, bool) {
+func isUnknown(o dispatcher.Outcome) bool {
+	_, is := o.(dispatcher.Unknown)
+	return is
+}
+
+// settle turns a scheduler's reply into an outcome; answered is false if there
+// was none. After a send that may have reached an earlier scheduler, that one
+// may have run repeatable work without a trace in the log, so the present one's
+// NotRun isn't the whole truth.
+func settle(reply submitReply, err error, uncertain bool) (outcome dispatcher.Outcome, accepted, answered bool) {
+	if err != nil || reply.NotHolder {
+		return nil, false, false
+	}
 	if reply.Accepted {
-		return nil, true
+		return nil, true, true
 	}
-	outcome, err := dispatcher.UnmarshalOutcome(reply.Outcome)
+	outcome, err = dispatcher.UnmarshalOutcome(reply.Outcome)
 	if err != nil {
-		return dispatcher.Unknown{Refusal: internal(err)}, false
+		return dispatcher.Unknown{Refusal: internal(err)}, false, true
 	}
 	if notRun, is := outcome.(dispatcher.NotRun); is && uncertain {
-		return dispatcher.Unknown(notRun), false
+		return dispatcher.Unknown(notRun), false, true
 	}
-	return outcome, false
+	return outcome, false, true
 }
 
 // mayBeDelivered reports whether a failed send can have reached a scheduler.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -42,6 +42,7 @@
 type fakeMesh struct {
 	answers []answer
 	ids     []unit.Request
+	last    dispatcher.Request
 }
 
 func (f *fakeMesh) Call(_ context.Context, _ unit.Instance, _ instance.Method, data []byte) ([]byte, error) {
@@ -50,6 +51,7 @@
 		return nil, err
 	}
 	f.ids = append(f.ids, body.Request.ID)
+	f.last = body.Request
 	next := f.answers[0]
 	if len(f.answers) > 1 {
 		f.answers = f.answers[1:]
@@ -99,7 +101,7 @@
 			is := is.New(t)
 			mesh := &fakeMesh{answers: c.answers}
 			r := newRouter(t, mesh)
-			outcome, accepted := r.Submit(context.Background(), Submission{
+			_, outcome, accepted := r.Submit(context.Background(), Submission{
 				CallerID: "b.1", Request: dispatcher.Request{ID: "acc/b.1", Repeatable: c.repeatable, Timeout: clock.Minute},
 			})
 			is.True(!accepted)
@@ -126,7 +128,7 @@
 			is := is.New(t)
 			r := newRouter(t, &fakeMesh{answers: []answer{c.answer}})
 			r.budget.spent.Store(maxCredits) // no retries are left
-			outcome, _ := r.Submit(context.Background(), Submission{
+			_, outcome, _ := r.Submit(context.Background(), Submission{
 				CallerID: "b.1", Request: dispatcher.Request{ID: "acc/b.1", Timeout: clock.Minute},
 			})
 			_, unknown := outcome.(dispatcher.Unknown)
@@ -160,8 +162,8 @@
 	for g.enter(false) {
 	}
 	is.True(g.enter(true))
-	g.leave(true)
-	g.leave(false)
+	g.leave()
+	g.leave()
 	is.True(g.enter(false))
 }
 
@@ -178,6 +180,37 @@
 	is.Equal(outcome.(dispatcher.NotRun).Reason, dispatcher.ReasonKeyRefused)
 }
 
+func TestMoveToAnotherZone(t *testing.T) {
+	full := dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonOverloaded}}
+	cases := map[string]struct {
+		generated bool
+		answers   []answer
+		moved     bool
+		fresh     bool
+	}{
+		"an id of this instance":       {generated: true, answers: []answer{replies(full), replies(dispatcher.Done{})}, moved: true, fresh: true},
+		"a caller's id stays":          {answers: []answer{replies(full), replies(dispatcher.Done{})}},
+		"no scheduler":                 {generated: true, answers: []answer{notHolder, notHolder, notHolder, notHolder, notHolder, notHolder, replies(dispatcher.Done{})}, moved: true, fresh: true},
+		"it may run there: it stays":   {generated: true, answers: []answer{lost(true), replies(dispatcher.Done{})}},
+		"not fresh after a lost reply": {generated: true, answers: []answer{lost(true), replies(dispatcher.Done{})}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			mesh := &fakeMesh{answers: c.answers}
+			r := newRouter(t, mesh)
+			r.c.State.Apply(3, registrar.EncodeCommand(registrar.TakeZone{AvailabilityZone: "a", Instance: "a2"}))
+			id, _, _ := r.Submit(context.Background(), Submission{
+				CallerID: "b.1", Generated: c.generated, Request: dispatcher.Request{ID: "/b.1", Timeout: clock.Minute},
+			})
+			is.Equal(id != "b.1", c.moved)
+			last := mesh.last
+			is.Equal(last.Fresh, c.fresh)
+			is.Equal(last.ID, unit.ScopedRequest("", id))
+		})
+	}
+}
+
 type alwaysHolds struct{}
 
 func (alwaysHolds) MayStart(clock.Millis) (unit.Epoch, bool) { return 1, true }
--- a/runner/edges.go
+++ b/runner/edges.go
@@ -62,12 +62,12 @@
 	}
 	return instance.New(instance.Config{
 		Self: s.Instance, Listen: s.Listen.Mesh, Peers: peers, Credentials: creds,
-		Clock: clk, Logger: l, Metrics: m.SubScope("mesh"), Tracer: t,
+		Clock: clk, Logger: l, Metrics: m, Tracer: t,
 	})
 }
 
 func newUpstreams(m tally.Scope, t trace.Tracer) *upstream.Client {
-	return upstream.NewClient(upstream.ClientConfig{Metrics: m.SubScope("upstream"), Tracer: t})
+	return upstream.NewClient(upstream.ClientConfig{Metrics: m, Tracer: t})
 }
 
 func newHealth() *platform.Health { return new(platform.Health) }
--- a/worker/announce.go
+++ b/worker/announce.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/logger"
 	"github.com/chervilvane/chervilvane/upstream"
@@ -19,6 +20,9 @@
 // instance.
 const reportTimeout = time.Second
 
+// reportGap is the least time between two reports.
+const reportGap = 20 * clock.Millisecond
+
 // announce reports to the entry instances, again and again. It stays with one
 // that answers and moves on from one that doesn't.
 func (w *Worker) announce(ctx context.Context) error {
@@ -37,21 +41,31 @@
 			return nil
 		case <-tick.C:
 		case <-w.kick:
+			// Ends that come together go out in one report.
+			pause(ctx, reportGap)
 		}
 	}
 }
 
+func pause(ctx context.Context, span clock.Millis) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // report sends one report and carries out the reply.
 func (w *Worker) report(ctx context.Context, entry string) error {
 	w.mu.Lock()
 	sentAt := w.cfg.Clock.Now()
 	sent := w.table.report(dispatcher.Report{
 		Upstream:         w.cfg.ID,
-		Incarnation:      w.incarnation,
 		AvailabilityZone: w.cfg.AvailabilityZone,
 		Rack:             w.cfg.Rack,
 		Address:          w.address,
-	})
+	}, sentAt)
 	w.mu.Unlock()
 	reply, err := w.send(ctx, entry, sent)
 	if err != nil {
--- a/worker/table.go
+++ b/worker/table.go
@@ -13,13 +13,23 @@
 // that the network kept back doesn't run it again. Orders expire much sooner.
 const memory = 10 * clock.Minute
 
+// reportMemory is how long it is known when a report left. It is longer than
+// any order may be late.
+const reportMemory = clock.Minute
+
 // table decides which tasks run. It has no clock and isn't safe for concurrent
 // use.
 type table struct {
-	holds     unit.Resources
-	free      unit.Resources
-	epoch     unit.Epoch
-	departing bool
+	holds       unit.Resources
+	free        unit.Resources
+	epoch       unit.Epoch
+	departing   bool
+	incarnation unit.Incarnation
+	// sequence numbers the reports; sentAt holds when the latest ones left.
+	sequence uint64
+	sentAt   map[uint64]clock.Millis
+	// oldest is the lowest number in sentAt.
+	oldest uint64
 	// announced is set once a report of the departure was answered.
 	announced bool
 	running   map[unit.Task]*running
@@ -43,13 +53,16 @@
 	until   clock.Millis
 }
 
-func newTable(holds unit.Resources) table {
+func newTable(holds unit.Resources, in unit.Incarnation) table {
 	return table{
-		holds:   holds,
-		free:    holds,
-		running: map[unit.Task]*running{},
-		ended:   map[unit.Task]dispatcher.Ended{},
-		gone:    map[unit.Task]gone{},
+		holds:       holds,
+		free:        holds,
+		incarnation: in,
+		sentAt:      map[uint64]clock.Millis{},
+		oldest:      1,
+		running:     map[unit.Task]*running{},
+		ended:       map[unit.Task]dispatcher.Ended{},
+		gone:        map[unit.Task]gone{},
 	}
 }
 
@@ -93,7 +106,7 @@
 		}
 		return refuse{dispatcher.Refused{Detail: g.refusal, Epoch: t.epoch}}
 	}
-	if why := t.refusal(o, waited); why != "" {
+	if why := t.refusal(o, waited, now); why != "" {
 		t.gone[o.Task] = gone{refusal: why, until: now + memory}
 		return refuse{dispatcher.Refused{Detail: why, Epoch: t.epoch}}
 	}
@@ -104,8 +117,12 @@
 }
 
 // refusal says why an order of an unknown task is refused, or "".
-func (t *table) refusal(o dispatcher.StartOrder, waited clock.Millis) string {
+func (t *table) refusal(o dispatcher.StartOrder, waited, now clock.Millis) string {
 	switch {
+	case o.Incarnation != "" && o.Incarnation != t.incarnation:
+		return fmt.Sprintf("the order is for incarnation %s", o.Incarnation)
+	case t.isStale(o, now):
+		return "the order was made from a report that is too old by now"
 	case o.Epoch < t.epoch:
 		return fmt.Sprintf("epoch %d is older than %d", o.Epoch, t.epoch)
 	case o.Expiry > 0 && waited > o.Expiry:
@@ -120,6 +137,17 @@
 	return ""
 }
 
+// isStale reports whether an order rests on a report that left longer ago than
+// the order may be late. It is the upstream's own clock that counts, so an
+// order that waited in a buffer while this process was paused is found too.
+func (t *table) isStale(o dispatcher.StartOrder, now clock.Millis) bool {
+	if o.Sequence == 0 {
+		return false
+	}
+	sentAt, known := t.sentAt[o.Sequence]
+	return !known || now-sentAt > o.Expiry
+}
+
 // stop marks a task as told to stop and reports whether it runs.
 func (t *table) stop(o dispatcher.StopOrder) bool {
 	r, is := t.running[o.Task]
@@ -170,8 +198,16 @@
 	return ids
 }
 
-// report fills in what the table knows.
-func (t *table) report(r dispatcher.Report) dispatcher.Report {
+// report fills in what the table knows, in a report that leaves at now.
+func (t *table) report(r dispatcher.Report, now clock.Millis) dispatcher.Report {
+	t.sequence++
+	t.sentAt[t.sequence] = now
+	for now-t.sentAt[t.oldest] > reportMemory {
+		delete(t.sentAt, t.oldest)
+		t.oldest++
+	}
+	r.Incarnation = t.incarnation
+	r.Sequence = t.sequence
 	r.Holds = t.holds
 	r.Departing = t.departing
 	r.Epoch = t.epoch
--- a/worker/table_test.go
+++ b/worker/table_test.go
@@ -34,7 +34,25 @@
 			order:  order("t1", 1),
 			want:   refuse{dispatcher.Refused{Detail: "epoch 1 is older than 2", Epoch: 2}},
 		},
-		"late":     {order: order("t1", 1), waited: 1001, want: refuse{dispatcher.Refused{Detail: "the order came 1001ms after it was sent, allowed were 1000ms"}}},
+		"late": {order: order("t1", 1), waited: 1001, want: refuse{dispatcher.Refused{Detail: "the order came 1001ms after it was sent, allowed were 1000ms"}}},
+		"of another incarnation": {
+			order: func() dispatcher.StartOrder { o := order("t1", 1); o.Incarnation = "old"; return o }(),
+			want:  refuse{dispatcher.Refused{Detail: "the order is for incarnation old"}},
+		},
+		"from a recent report": {
+			before: func(tb *table) { tb.report(dispatcher.Report{}, -990) },
+			order:  func() dispatcher.StartOrder { o := order("t1", 1); o.Sequence = 1; return o }(),
+			want:   run{},
+		},
+		"from an old report": {
+			before: func(tb *table) { tb.report(dispatcher.Report{}, -991) },
+			order:  func() dispatcher.StartOrder { o := order("t1", 1); o.Sequence = 1; return o }(),
+			want:   refuse{dispatcher.Refused{Detail: "the order was made from a report that is too old by now"}},
+		},
+		"from a report that was never sent": {
+			order: func() dispatcher.StartOrder { o := order("t1", 1); o.Sequence = 9; return o }(),
+			want:  refuse{dispatcher.Refused{Detail: "the order was made from a report that is too old by now"}},
+		},
 		"no lease": {order: dispatcher.StartOrder{Task: "t1"}, want: refuse{dispatcher.Refused{Detail: "the order has no lease"}}},
 		"too large": {
 			order: withNeed(order("t1", 1), 3),
@@ -81,7 +99,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			tb := newTable(unit.Resources{Slots: 2})
+			tb := newTable(unit.Resources{Slots: 2}, "now")
 			if test.before != nil {
 				test.before(&tb)
 			}
@@ -92,7 +110,7 @@
 
 func TestLeases(t *testing.T) {
 	const sentAt = clock.Second
-	report := func(tb *table) dispatcher.Report { return tb.report(dispatcher.Report{}) }
+	report := func(tb *table) dispatcher.Report { return tb.report(dispatcher.Report{}, 0) }
 	tests := map[string]struct {
 		reply func(tb *table)
 		// at is when the lease is looked at.
@@ -135,7 +153,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			tb := newTable(unit.Resources{Slots: 2})
+			tb := newTable(unit.Resources{Slots: 2}, "now")
 			tb.start(order("t1", 1), 0, 0)
 			if test.reply != nil {
 				test.reply(&tb)
@@ -150,9 +168,9 @@
 
 func TestStopByReply(t *testing.T) {
 	is := is.New(t)
-	tb := newTable(unit.Resources{Slots: 2})
+	tb := newTable(unit.Resources{Slots: 2}, "now")
 	tb.start(order("t1", 1), 0, 0)
-	sent := tb.report(dispatcher.Report{})
+	sent := tb.report(dispatcher.Report{}, 0)
 	stop := dispatcher.ReportReply{Epoch: 3, Lease: lease, Stop: []dispatcher.StopOrder{{Task: "t1", Checkpoint: true}, {Task: "t2"}}}
 	is.Equal(tb.reply(sent, stop, 1, 2), []unit.Task{"t1"})
 	// The task keeps its resources until it has ended.
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -66,10 +66,9 @@
 
 // Worker is a stand-in upstream.
 type Worker struct {
-	cfg         Config
-	log         logrus.FieldLogger
-	incarnation unit.Incarnation
-	http        *http.Client
+	cfg  Config
+	log  logrus.FieldLogger
+	http *http.Client
 	// ready is closed once address is set.
 	ready chan struct{}
 	// kick asks for a report before the next one is due.
@@ -101,15 +100,14 @@
 		cfg.Logger = logger.Discard()
 	}
 	w := &Worker{
-		cfg:         cfg,
-		log:         cfg.Logger.WithField(logger.FieldUpstream, cfg.ID),
-		incarnation: unit.Incarnation(uuid.NewString()),
-		http:        &http.Client{Transport: &http.Transport{}, Timeout: reportTimeout},
-		ready:       make(chan struct{}),
-		kick:        make(chan struct{}, 1),
-		table:       newTable(cfg.Holds),
-		stops:       map[unit.Task]context.CancelFunc{},
-		ended:       map[unit.Task]chan struct{}{},
+		cfg:   cfg,
+		log:   cfg.Logger.WithField(logger.FieldUpstream, cfg.ID),
+		http:  &http.Client{Transport: &http.Transport{}, Timeout: reportTimeout},
+		ready: make(chan struct{}),
+		kick:  make(chan struct{}, 1),
+		table: newTable(cfg.Holds, unit.Incarnation(uuid.NewString())),
+		stops: map[unit.Task]context.CancelFunc{},
+		ended: map[unit.Task]chan struct{}{},
 	}
 	w.tasks, w.stopTasks = context.WithCancel(context.Background())
 	return w
