decoder, parser, loader: hold every finding and the reading of any input by tests

Cause: the checks had no tests. FuzzParse failed on its first long run: the suggested unit of CPU 20I depended on the order of a map, so two instances could word a finding differently. A text must leave at least one availability zone.

--- a/decoder/nearest.go
+++ b/decoder/nearest.go
@@ -9,6 +9,9 @@
 // cost grows with the product of the lengths.
 const maxNearest = 64
 
+// maxDistance bounds how different a name may be that was meant.
+const maxDistance = 3
+
 // Nearest returns the candidate that a misspelled name most likely means, or
 // an empty text if none is close. Of equally close ones it is the first in
 // the order of the alphabet.
@@ -16,10 +19,10 @@
 	if name == "" || len(name) > maxNearest {
 		return ""
 	}
-	nearest, least := "", len(name)/3+1
+	nearest, least := "", min(len(name)/2, maxDistance)
 	for c := range candidates {
 		// The difference of the lengths is a lower bound of the distance.
-		if len(c) > maxNearest || max(len(c)-len(name), len(name)-len(c)) > least {
+		if c == "" || len(c) > maxNearest || max(len(c)-len(name), len(name)-len(c)) > least {
 			continue
 		}
 		d := distance(strings.ToLower(name), strings.ToLower(c))
--- a/parser/demand.go
+++ b/parser/demand.go
@@ -50,15 +50,15 @@
 
 func (d demand) checkLimit(limit unit.Resources) {
 	need, most := d.each.Vector(), limit.Vector()
-	for i, name := range dimensionNames {
+	for i := range dimensionNames {
 		switch {
 		case need[i] > most[i]:
 			d.need.Reject("a task needs %s; the limit of team %s is %s, so it can never run",
 				formatAmount(i, need[i]), d.teamName, formatAmount(i, most[i]))
 		// Division instead of a product can't overflow.
 		case need[i] > most[i]/int64(d.tasks):
-			d.need.Reject("%d tasks that start together need %s each (%s); the limit of team %s is %s in all, so they can never run",
-				d.tasks, formatAmount(i, need[i]), name, d.teamName, formatAmount(i, most[i]))
+			d.need.Reject("%d tasks that start together need %s each; the limit of team %s is %s in all, so they can never run",
+				d.tasks, formatAmount(i, need[i]), d.teamName, formatAmount(i, most[i]))
 		}
 	}
 }
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -32,7 +32,7 @@
 		"Batches":           r.readBatches,
 		"Jobs":              r.readJobs,
 		"Weights":           r.readWeights,
-	})
+	}, "AvailabilityZones")
 	r.checkDemands()
 	r.checkOrder()
 	if list := found.List(); len(list) > 0 {
@@ -81,9 +81,9 @@
 		}, "Name")
 		r.config.AvailabilityZones = append(r.config.AvailabilityZones, z)
 	})
-	lost := func(z AvailabilityZone) bool { return !z.Lost }
-	if zones := r.config.AvailabilityZones; len(zones) > 0 && !slices.ContainsFunc(zones, lost) {
-		v.Reject("every availability zone is declared lost; at least one must be left")
+	left := func(z AvailabilityZone) bool { return !z.Lost }
+	if !slices.ContainsFunc(r.config.AvailabilityZones, left) {
+		v.Reject("no availability zone is left to run work in; at least one must be listed without Lost")
 	}
 }
 
--- /dev/null
+++ b/parser/property_test.go
@@ -0,0 +1,137 @@
+package parser
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/decoder"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func TestMain(m *testing.M) {
+	// A fixed seed gives the same verdict on each run.
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestRenderedConfigParsesToItself renders random valid configurations and
+// parses them back.
+func TestRenderedConfigParsesToItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		want := drawConfig(t)
+		got, findings := Parse("t", []byte(render(reflect.ValueOf(want))))
+		is.Equal(len(findings), 0)
+		is.Equal(got, want)
+	})
+}
+
+var (
+	drawNames = rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z][a-z0-9-]{0,8}`), 1, 6, rapid.ID[string])
+	drawData  = rapid.StringMatching(`[ -~]{0,12}`)
+	drawBool  = rapid.Bool()
+)
+
+// largest is a limit that holds every need that is drawn.
+var largest = unit.Resources{CPU: decoder.MaxCPU, Memory: decoder.MaxMemory, Accelerators: decoder.MaxCount, Slots: decoder.MaxCount, Connections: decoder.MaxCount}
+
+func drawNeed(t *rapid.T) unit.Resources {
+	return unit.Resources{
+		CPU:          unit.MilliCPU(rapid.Int64Range(0, 10_000).Draw(t, "cpu")),
+		Memory:       unit.Bytes(rapid.Int64Range(0, 1<<35).Draw(t, "memory")),
+		Accelerators: unit.Count(rapid.Int64Range(0, 9).Draw(t, "accelerators")),
+		Slots:        unit.Count(rapid.Int64Range(1, 9).Draw(t, "slots")),
+		Connections:  unit.Count(rapid.Int64Range(0, 99).Draw(t, "connections")),
+	}
+}
+
+func drawConfig(t *rapid.T) Config {
+	var c Config
+	for i, name := range drawNames.Draw(t, "zones") {
+		c.AvailabilityZones = append(c.AvailabilityZones, AvailabilityZone{unit.AvailabilityZone(name), i > 0 && drawBool.Draw(t, "lost")})
+	}
+	teams := drawNames.Draw(t, "teams")
+	for _, name := range teams {
+		c.Teams = append(c.Teams, Team{unit.Team(name), rapid.IntRange(1, MaxShare).Draw(t, "share"), largest})
+	}
+	team := func() unit.Team { return unit.Team(rapid.SampledFrom(teams).Draw(t, "team")) }
+	runTime := func() clock.Millis { return clock.Millis(rapid.Int64Range(1, int64(MaxRunTime)).Draw(t, "time")) }
+	count := func() int { return rapid.IntRange(1, MaxTasks).Draw(t, "count") }
+	for _, name := range drawNames.Draw(t, "queues") {
+		class := rapid.SampledFrom([]Class{Interactive{}, Deferred{}, Deferred{Checkpoints: true}, AllAtOnce{Tasks: 4}}).Draw(t, "class")
+		_, deferred := class.(Deferred)
+		c.Queues = append(c.Queues, Queue{
+			unit.Queue(name), team(), rapid.SampledFrom([]Access{Open{}, Keyed{}}).Draw(t, "access"), class,
+			!deferred && drawBool.Draw(t, "urgent"), drawNeed(t), runTime(), rapid.IntRange(1, MaxWaiting).Draw(t, "waiting"),
+		})
+	}
+	var earlier []unit.Work
+	for i, name := range drawNames.Draw(t, "works") {
+		var after []unit.Work
+		after = append(after, earlier[:rapid.IntRange(0, len(earlier)).Draw(t, "after")]...)
+		earlier = append(earlier, unit.Work(name))
+		switch i % 3 {
+		case 0:
+			c.Services = append(c.Services, Service{unit.Work(name), team(), count(), drawNeed(t), after, drawData.Draw(t, "data")})
+		case 1:
+			c.Batches = append(c.Batches, Batch{unit.Work(name), team(), count(), drawNeed(t), runTime(), after, drawBool.Draw(t, "r"), drawBool.Draw(t, "c"), drawData.Draw(t, "data")})
+		default:
+			c.Jobs = append(c.Jobs, Job{unit.Work(name), team(), count(), drawNeed(t), runTime(), after, drawBool.Draw(t, "r"), drawBool.Draw(t, "u"), drawData.Draw(t, "data")})
+		}
+	}
+	c.Weights = Weights{rapid.IntRange(0, MaxWeight).Draw(t, "w"), 1, 0}
+	return c
+}
+
+// render writes a value as the text does, in flow style.
+func render(v reflect.Value) string {
+	switch x := v.Interface().(type) {
+	case Access:
+		return strings.TrimPrefix(fmt.Sprintf("%T", x), "parser.")
+	case Class:
+		// The fields of a class stand beside Class.
+		parts := append([]string{strings.TrimPrefix(fmt.Sprintf("%T", x), "parser.")}, renderFields(v.Elem())...)
+		return strings.Join(parts, ", ")
+	case unit.MilliCPU:
+		return decoder.FormatCPU(x)
+	case unit.Bytes:
+		return decoder.FormatMemory(x)
+	case clock.Millis:
+		return decoder.FormatSpan(x)
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return "{" + strings.Join(renderFields(v), ", ") + "}"
+	case reflect.Slice:
+		var parts []string
+		for i := range v.Len() {
+			parts = append(parts, render(v.Index(i)))
+		}
+		return "[" + strings.Join(parts, ", ") + "]"
+	case reflect.String:
+		return strconv.Quote(v.String())
+	default:
+		return fmt.Sprint(v.Interface())
+	}
+}
+
+func renderFields(v reflect.Value) []string {
+	var parts []string
+	for i := range v.NumField() {
+		parts = append(parts, v.Type().Field(i).Name+": "+render(v.Field(i)))
+	}
+	return parts
+}
--- a/parser/work.go
+++ b/parser/work.go
@@ -1,6 +1,8 @@
 package parser
 
 import (
+	"slices"
+
 	"github.com/chervilvane/chervilvane/decoder"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -67,14 +69,16 @@
 // work itself may stand below its After, so it is passed by reference.
 func (r *reader) readAfter(v decoder.Value, of *unit.Work) []unit.Work {
 	var after []unit.Work
-	first := names{}
 	v.List(func(v decoder.Value) {
-		name := first.read(v)
-		if name == "" {
-			return
+		name := unit.Work(v.Name())
+		switch {
+		case name == "":
+		case slices.Contains(after, name):
+			v.Reject("%s stands in the list already", name)
+		default:
+			after = append(after, name)
+			r.edges = append(r.edges, edge{from: of, to: name, place: v})
 		}
-		after = append(after, unit.Work(name))
-		r.edges = append(r.edges, edge{from: of, to: unit.Work(name), place: v})
 	})
 	return after
 }
