--- a/caller/client.go
+++ b/caller/client.go
@@ -15,6 +15,10 @@
 	"github.com/chervilvane/chervilvane/unit"
 )
 
+// MaxData is the size of the largest Data, in bytes, whose request keeps within
+// MaxBody: base64 makes four bytes of three, and the other fields need room.
+const MaxData = (MaxBody - 4096) / 4 * 3
+
 // Client submits requests to the fleet. It resends under the same id after a
 // lost answer, also to another instance.
 type Client struct{ f *fetcher.Fetcher }
--- a/caller/reply.go
+++ b/caller/reply.go
@@ -42,7 +42,9 @@
 	if err := json.Unmarshal(a.Body, &b); err != nil {
 		return nil, errors.Wrapf(err, "the answer of %s (status %d) isn't an outcome", a.Address, a.Status)
 	}
-	if b.ID != id {
+	// An instance that couldn't read the body refuses it without its id.
+	unread := b.ID == "" && b.Outcome == "NotRun"
+	if b.ID != id && !unread {
 		return nil, errors.Newf("%s answered with the id %q, not %q", a.Address, b.ID, id)
 	}
 	refusal := dispatcher.Refusal{Reason: b.Reason, Detail: b.Detail, Remedy: b.Remedy, RetryAfter: b.RetryAfterMillis}
--- a/commander/request.go
+++ b/commander/request.go
@@ -76,7 +76,7 @@
 
 func (c *Commander) requestData(s *submitFlags) ([]byte, error) {
 	if s.file == "" {
-		return []byte(s.data), nil
+		return checkData([]byte(s.data))
 	}
 	if s.data != "" {
 		return nil, usagef("give -data or -file, not both")
@@ -90,12 +90,16 @@
 		defer file.Close()
 		in = file
 	}
-	data, err := io.ReadAll(io.LimitReader(in, caller.MaxBody+1))
+	data, err := io.ReadAll(io.LimitReader(in, caller.MaxData+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the data")
 	}
-	if len(data) > caller.MaxBody {
-		return nil, usagef("the data is larger than a request may be (%d bytes)", caller.MaxBody)
+	return checkData(data)
+}
+
+func checkData(data []byte) ([]byte, error) {
+	if len(data) > caller.MaxData {
+		return nil, usagef("the data is larger than a request may be (%d bytes)", caller.MaxData)
 	}
 	return data, nil
 }
