--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,205 @@
+package commander
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/authenticator"
+)
+
+const (
+	goodText = "AvailabilityZones: [{Name: a}]\n"
+	badText  = "AvailabilityZones: [{Nmae: a}]\nTeams: 3\n"
+)
+
+// write puts a text into a file and returns its path.
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "text.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestUsage(t *testing.T) {
+	cases := map[string]struct {
+		args   string
+		status Status
+		note   string
+	}{
+		"no command":         {"", StatusUsage, "SUBCOMMANDS"},
+		"unknown command":    {"frobnicate", StatusUsage, "SUBCOMMANDS"},
+		"help":               {"submit -h", StatusDone, "-queue"},
+		"unknown flag":       {"submit -q x", StatusUsage, "not defined: -q"},
+		"flag missing":       {"submit -data x", StatusUsage, "submit needs -queue"},
+		"key without part":   {"key", StatusUsage, "withdraw"},
+		"argument missing":   {"apply", StatusUsage, "apply takes TEXT; got 0 arguments"},
+		"too many arguments": {"result a b", StatusUsage, "result takes ID; got 2 arguments"},
+		"late bad flag":      {"apply text.yaml -bse 3", StatusUsage, "-bse"},
+		"bad format":         {"status -o xml", StatusUsage, "want text or json"},
+		"bad address":        {"status -address ftp://x", StatusUsage, "isn't an address"},
+		"bad key id":         {"key withdraw 12", StatusUsage, "isn't a key id"},
+		"missing file":       {"check /nonexistent/text.yaml", StatusUsage, "no such file"},
+		"data twice":         {"submit -queue q -data x -file -", StatusUsage, "not both"},
+		"timeout of none":    {"submit -queue q -timeout 0s", StatusUsage, "-timeout must be"},
+		"nobody listens":     {"status", StatusUnreachable, "no instance answered"},
+		"submit to nobody":   {"submit -queue q", StatusUnreachable, "no instance answered"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			status, out, notes := run(t, "127.0.0.1:1", strings.Fields(c.args)...)
+			is.Equal(status, c.status)
+			is.Equal(out, "")
+			is.True(strings.Contains(notes, c.note)) // the note says what is wrong
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	status, out, _ := run(t, "", "check", write(t, goodText))
+	is.Equal(status, StatusDone)
+	is.Equal(out, "no findings\n")
+	bad := write(t, badText)
+	status, out, _ = run(t, "", "check", bad)
+	is.Equal(status, StatusUsage)
+	is.Equal(strings.Count(out, bad+":"), 3) // each finding is a line with its place
+	status, out, _ = run(t, "", "check", bad, "-o", "json")
+	is.Equal(status, StatusUsage)
+	is.True(strings.HasPrefix(out, `{"Findings":[{"File":`))
+	status, out, _ = run(t, "", "check", "-settings", write(t, "Instance: a1\n"))
+	is.Equal(status, StatusUsage)
+	is.True(strings.Contains(out, "Listen: the field is missing"))
+}
+
+func TestApply(t *testing.T) {
+	routes := func(put answer) map[string]answer {
+		return map[string]answer{
+			"GET /v1/config":         {200, `{"Version":6,"Text":""}`},
+			"PUT /v1/config":         put,
+			"GET /v1/config/running": {200, `{"Instances":[{"Instance":"a1","Version":7,"Reachable":true},{"Instance":"b1","Version":6,"Reachable":true}]}`},
+		}
+	}
+	accepted := answer{200, `{"Version":7}`}
+	cases := map[string]struct {
+		put    answer
+		text   string
+		args   string
+		status Status
+		out    string
+		note   string
+		sent   string
+	}{
+		"takes the version in force": {accepted, goodText, "", StatusDone, "version 7\n", "", "PUT /v1/config?base=6&id="},
+		"keeps a given base and id":  {accepted, goodText, "-base 0 -id x", StatusDone, "version 7\n", "", "PUT /v1/config?base=0&id=x"},
+		"as JSON":                    {accepted, goodText, "-o json", StatusDone, "{\"Version\":7}\n", "", ""},
+		"sends no bad text":          {accepted, badText, "", StatusUsage, "text.yaml:1:", "", ""},
+		"names the winner":           {answer{409, `{"Version":9,"Operator":"rui"}`}, goodText, "", StatusNotDone, "version 9 of operator rui is in force", "", ""},
+		"prints the other findings":  {answer{422, `{"Findings":[{"File":"text","Line":4,"Column":2,"Path":"P","Message":"m"}]}`}, goodText, "", StatusUsage, "text.yaml:4:2: P: m\n", "", ""},
+		"offers the resend":          {answer{503, `{"Detail":"no leader"}`}, goodText, "-id x", StatusNotDone, "", "apply -base 6 -id x", ""},
+		"is refused":                 {answer{403, `{"Reason":"KeyRefused","Detail":"d"}`}, goodText, "", StatusNotDone, "", "KeyRefused: d", ""},
+		"waits for every instance":   {accepted, goodText, "-wait -timeout 20ms", StatusNotDone, "", "b1 (version 6)", ""},
+		"of a bad base":              {accepted, goodText, "-base -2", StatusUsage, "", "-base must be a version", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newInstance(t, routes(c.put))
+			status, out, notes := run(t, i.URL, append([]string{"apply", write(t, c.text)}, strings.Fields(c.args)...)...)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(out, c.out))
+			is.True(out == "" || c.out != "") // a failure prints no result
+			is.True(strings.Contains(notes, c.note))
+			is.True(strings.Contains(strings.Join(i.requests(), "\n"), c.sent))
+			if c.text == badText {
+				is.Equal(len(i.requests()), 0) // nothing is sent
+			}
+		})
+	}
+}
+
+func TestApplyResendsWithItsID(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, map[string]answer{"PUT /v1/config": {200, `{"Version":1}`}})
+	i.drop("PUT /v1/config")
+	status, out, _ := run(t, i.URL, "apply", "-base", "0", write(t, goodText))
+	is.Equal(status, StatusDone)
+	is.Equal(out, "version 1\n")
+	is.Equal(len(i.requests()), 2)
+	is.Equal(i.requests()[0], i.requests()[1]) // the resend repeats the id and the base
+}
+
+func TestGrantSendsNoSecret(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, map[string]answer{"POST /v1/keys": {200, `{"State":"Granted"}`}})
+	status, out, notes := run(t, i.URL, "key", "grant", "-account", "web", "-team", "booking")
+	is.Equal(status, StatusDone)
+	token, err := authenticator.ParseToken(strings.TrimSpace(out))
+	is.NoErr(err) // the token is the whole output
+	secret := strings.Split(token.Text(), ".")[2]
+	is.True(strings.Contains(i.body(0), string(token.ID)))
+	is.True(!strings.Contains(i.body(0), secret)) // only the hash leaves the machine
+	is.True(!strings.Contains(notes, secret))
+}
+
+func TestKeysAreWithdrawnAndListed(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, map[string]answer{
+		"DELETE /v1/keys/0011223344556677": {202, `{"State":"Pending"}`},
+		"GET /v1/keys":                     {200, `{"Keys":[{"Key":"0011223344556677","Account":"web","Team":"booking","Withdrawn":true}]}`},
+	})
+	status, out, _ := run(t, i.URL, "key", "withdraw", "cv1.0011223344556677.c2VjcmV0")
+	is.Equal(status, StatusDone)
+	is.True(strings.Contains(out, "not in the log yet"))
+	is.Equal(i.requests()[0], "DELETE /v1/keys/0011223344556677") // a token's secret isn't sent
+	status, out, _ = run(t, i.URL, "key", "list")
+	is.Equal(status, StatusDone)
+	is.Equal(out, "KEY               ACCOUNT  TEAM     STATE\n0011223344556677  web      booking  withdrawn\n")
+}
+
+func TestQuestions(t *testing.T) {
+	const state = `{"Instance":"a1","AvailabilityZone":"a","Version":7,"LogLeader":"b1","LogFreshMillis":40,` +
+		`"Zones":[{"AvailabilityZone":"a","Epoch":3,"Holder":"a1"}],"Scheduler":{"Holding":true,"Epoch":3,"Running":2,` +
+		`"Upstreams":[{"Upstream":"w1","Rack":"r1","Holds":{"CPU":8000,"Memory":16000000000,"Slots":8},"Used":{"CPU":1500,"Memory":0,"Slots":2},"State":"Ready"}],` +
+		`"Waiting":[{"Task":"t1","Team":"booking","Reason":"TeamLimit","Detail":"full","Remedy":"raise it"}]}}`
+	routes := map[string]answer{
+		"GET /v1/status":         {200, state},
+		"GET /v1/config":         {200, `{"Version":7,"Text":"Teams: []\n"}`},
+		"GET /v1/config/history": {200, `{"History":[{"Version":7,"Operator":"ana","AtMillis":1000}]}`},
+		"GET /v1/requests/r1":    {200, `{"ID":"r1","Outcome":"Pending","Reason":"TeamLimit"}`},
+		"DELETE /v1/requests/r1": {200, `{"ID":"r1","Outcome":"NotRun","Reason":"Cancelled"}`},
+		"GET /v1/requests/r2":    {404, `{"ID":"r2","Outcome":"NotRun","Reason":"NoSuchRequest","Detail":"no r2"}`},
+	}
+	cases := map[string]struct {
+		args   string
+		status Status
+		out    string
+		note   string
+	}{
+		"status as JSON": {"status -o json", StatusDone, state, ""},
+		"status":         {"status", StatusDone, "w1        r1    Ready  1500m/8  0B/16GB  2/8", ""},
+		"show":           {"show", StatusDone, "Teams: []\n", "version 7"},
+		"history":        {"history", StatusDone, "7        ana       1970-01-01T00:00:01Z", ""},
+		"result pending": {"result r1", StatusNotDone, "", "Pending: TeamLimit"},
+		"result as JSON": {"result r1 -o json", StatusNotDone, `"Outcome":"Pending"`, ""},
+		"cancelled":      {"cancel r1", StatusDone, "", "NotRun: Cancelled"},
+		"result of none": {"result r2", StatusNotDone, "", "NoSuchRequest: no r2"},
+		"version":        {"version", StatusDone, "v0", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newInstance(t, routes)
+			status, out, notes := run(t, i.URL, strings.Fields(c.args)...)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(out, c.out))
+			is.True(strings.Contains(notes, c.note))
+		})
+	}
+}
--- a/commander/config.go
+++ b/commander/config.go
@@ -14,9 +14,9 @@
 	"github.com/chervilvane/chervilvane/unit"
 )
 
-// question is a command that asks an instance as an operator and prints the
+// operatorCommand is a command that asks an instance as an operator and prints the
 // answer.
-func (c *Commander) question(name, help string, ask func(ctx context.Context, client *operator.Client, o *output) error) *ffcli.Command {
+func (c *Commander) operatorCommand(name, help string, ask func(ctx context.Context, client *operator.Client, o *output) error) *ffcli.Command {
 	o, t := &output{c: c}, &target{c: c}
 	flags := c.flagSet(name)
 	o.register(flags)
@@ -46,7 +46,7 @@
 }
 
 func (c *Commander) showCommand() *ffcli.Command {
-	return c.question("show", "Print the text in force", func(ctx context.Context, client *operator.Client, o *output) error {
+	return c.operatorCommand("show", "Print the text in force", func(ctx context.Context, client *operator.Client, o *output) error {
 		version, text, err := client.Show(ctx)
 		if err != nil {
 			return err
@@ -62,7 +62,7 @@
 }
 
 func (c *Commander) historyCommand() *ffcli.Command {
-	return c.question("history", "List the accepted configurations", func(ctx context.Context, client *operator.Client, o *output) error {
+	return c.operatorCommand("history", "List the accepted configurations", func(ctx context.Context, client *operator.Client, o *output) error {
 		lines, err := client.History(ctx)
 		if err != nil {
 			return err
--- a/commander/key.go
+++ b/commander/key.go
@@ -117,7 +117,7 @@
 }
 
 func (c *Commander) listKeysCommand() *ffcli.Command {
-	return c.question("list", "List the keys", func(ctx context.Context, client *operator.Client, o *output) error {
+	return c.operatorCommand("list", "List the keys", func(ctx context.Context, client *operator.Client, o *output) error {
 		keys, err := client.Keys(ctx)
 		if err != nil {
 			return err
--- a/commander/request.go
+++ b/commander/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilvane/chervilvane/caller"
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -114,19 +115,48 @@
 	return f(caller.NewClient(fetcher))
 }
 
+// question asks about a request and prints the reply.
+type question func(ctx context.Context, client *caller.Client, o *output, id string) error
+
 func (c *Commander) resultCommand() *ffcli.Command {
-	return c.stateCommand("result", "Print what became of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
-		return client.Result(ctx, id)
+	return c.requestCommand("result", "Print what became of a request", func(ctx context.Context, client *caller.Client, o *output, id string) error {
+		reply, err := client.Result(ctx, id)
+		if err != nil {
+			return err
+		}
+		return o.printReply(id, reply)
 	})
 }
 
 func (c *Commander) cancelCommand() *ffcli.Command {
-	return c.stateCommand("cancel", "Ask for the end of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
-		return client.Cancel(ctx, id)
+	return c.requestCommand("cancel", "Ask for the end of a request", func(ctx context.Context, client *caller.Client, o *output, id string) error {
+		reply, err := client.Cancel(ctx, id)
+		if err != nil {
+			return err
+		}
+		err = o.printReply(id, reply)
+		if isCancelled(reply) {
+			return nil
+		}
+		return err
 	})
 }
 
-func (c *Commander) stateCommand(name, help string, ask func(context.Context, *caller.Client, string) (caller.Reply, error)) *ffcli.Command {
+// isCancelled reports whether a cancellation was taken: a request that won't
+// run is what was asked for.
+func isCancelled(reply caller.Reply) bool {
+	switch r := reply.(type) {
+	case caller.Pending:
+		return true
+	case caller.Ended:
+		_, notRun := r.Outcome.(dispatcher.NotRun)
+		return notRun
+	default:
+		return false
+	}
+}
+
+func (c *Commander) requestCommand(name, help string, ask question) *ffcli.Command {
 	o, t := &output{c: c}, &target{c: c}
 	flags := c.flagSet(name)
 	o.register(flags)
@@ -141,13 +171,7 @@
 			if err != nil {
 				return err
 			}
-			return t.withCaller(func(client *caller.Client) error {
-				reply, err := ask(ctx, client, ids[0])
-				if err != nil {
-					return err
-				}
-				return o.printReply(ids[0], reply)
-			})
+			return t.withCaller(func(client *caller.Client) error { return ask(ctx, client, o, ids[0]) })
 		},
 	}
 }
--- a/commander/request_test.go
+++ b/commander/request_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -23,7 +24,7 @@
 	got     []string
 	bodies  []string
 	keys    []string
-	dropped map[string]int
+	dropped map[string]bool
 }
 
 type answer struct {
@@ -35,12 +36,33 @@
 // of the request is recorded but not matched.
 func newInstance(t *testing.T, routes map[string]answer) *instance {
 	t.Helper()
-	i := &instance{routes: routes, dropped: map[string]int{}}
+	i := &instance{routes: routes, dropped: map[string]bool{}}
 	i.Server = httptest.NewServer(i)
 	t.Cleanup(i.Close)
 	return i
 }
 
+// drop loses the next answer of a route.
+func (i *instance) drop(route string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.dropped[route] = true
+}
+
+// requests returns the methods and paths that came so far.
+func (i *instance) requests() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Clone(i.got)
+}
+
+// body returns the body of a request that came.
+func (i *instance) body(n int) string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.bodies[n]
+}
+
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	route := r.Method + " " + r.URL.Path
@@ -48,8 +70,8 @@
 	i.got = append(i.got, r.Method+" "+r.URL.RequestURI())
 	i.bodies = append(i.bodies, string(body))
 	i.keys = append(i.keys, r.Header.Get("Authorization"))
-	drop := i.dropped[route] > 0
-	i.dropped[route]--
+	drop := i.dropped[route]
+	delete(i.dropped, route)
 	a, ok := i.routes[route]
 	i.mu.Unlock()
 	if drop {
@@ -105,6 +127,8 @@
 			is.Equal(status, c.status)               // the exit status tells the outcome
 			is.Equal(out, c.out)                     // standard output holds the answer only
 			is.True(strings.Contains(notes, c.note)) // the note tells the reason
+			i.mu.Lock()
+			defer i.mu.Unlock()
 			is.Equal(i.keys[1], "Bearer cv1.0011223344556677.secret")
 		})
 	}
--- a/commander/status.go
+++ b/commander/status.go
@@ -58,7 +58,7 @@
 }
 
 func (c *Commander) statusCommand() *ffcli.Command {
-	return c.question("status", "Print the state of an instance and its zone", func(ctx context.Context, client *operator.Client, o *output) error {
+	return c.operatorCommand("status", "Print the state of an instance and its zone", func(ctx context.Context, client *operator.Client, o *output) error {
 		raw, err := client.Status(ctx)
 		if err != nil {
 			return err
