queuer, placer: pause an upstream after a failure; explain what can never run

Cause: an upstream that fails at once is empty at once and got each next task; services, which don't end, never counted as a success of their work, so their failures were held against the work. A reservation was released for a move that then found nothing to stop, each time, so a large task starved (TestLargeTaskIsNotStarved failed). A lane whose only fitting upstream was gone was never looked at again (TestRejects failed). Change: a pause of a second after one failure, quarantine after three, on trial if no work may probe it; a task that ran for ten seconds is a success; the move is searched before the reservation is given up; lanes without room are checked for fitting nowhere from time to time.

--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -12,8 +12,11 @@
 	// strikesToQuarantine is how many failures in a row an upstream is
 	// allowed.
 	strikesToQuarantine = 3
-	firstQuarantine     = 30 * clock.Second
-	longestQuarantine   = 10 * clock.Minute
+	// firstPause is how long an upstream gets nothing new after one failure:
+	// one that fails at once is empty at once, and would be given each task.
+	firstPause        = clock.Second
+	firstQuarantine   = 30 * clock.Second
+	longestQuarantine = 10 * clock.Minute
 	// suspectWork is on how many upstreams work that never succeeded may fail
 	// before its failures are taken as its own.
 	suspectWork = 3
@@ -39,10 +42,12 @@
 type condition struct {
 	strikes     int
 	quarantined bool
-	until       clock.Millis
-	term        clock.Millis
-	probing     bool
-	probe       unit.Task
+	// paused is a quarantine that ends without a probe.
+	paused  bool
+	until   clock.Millis
+	term    clock.Millis
+	probing bool
+	probe   unit.Task
 }
 
 func newHealth() health {
@@ -80,11 +85,8 @@
 	}
 	u.strikes++
 	switch {
-	case u.quarantined && u.probing:
-		c.confine(u, now)
-	case !u.quarantined && u.strikes >= strikesToQuarantine && c.mayQuarantine():
-		u.quarantined = true
-		c.health.quarantined = append(c.health.quarantined, u)
+	case u.quarantined && !u.paused && !u.probing:
+	case u.quarantined || c.mayQuarantine():
 		c.confine(u, now)
 	}
 	return u.quarantined
@@ -118,12 +120,20 @@
 	return (len(c.health.quarantined)+1)*2 <= len(c.upstreams)
 }
 
-// confine starts a term of quarantine, each twice as long as the one before.
+// confine pauses an upstream, or starts a term of quarantine, each twice as
+// long as the one before.
 func (c *Cell) confine(u *upstream, now clock.Millis) {
-	u.term = min(max(2*u.term, firstQuarantine), longestQuarantine)
-	u.until = now + u.term
-	u.probing = false
-	u.probe = ""
+	if !u.quarantined {
+		c.health.quarantined = append(c.health.quarantined, u)
+	}
+	u.quarantined, u.probing, u.probe = true, false, ""
+	u.paused = u.strikes < strikesToQuarantine
+	if u.paused {
+		u.until = now + firstPause*clock.Millis(u.strikes)
+	} else {
+		u.term = min(max(2*u.term, firstQuarantine), longestQuarantine)
+		u.until = now + u.term
+	}
 	c.touch(u, u.free())
 }
 
@@ -135,11 +145,20 @@
 	c.health.quarantined = slices.DeleteFunc(c.health.quarantined, func(o *upstream) bool { return o == u })
 }
 
-// Tick lets quarantined upstreams whose term has ended take one probe, and
-// forgets sizes of upstreams that are long gone.
+// Tick ends pauses, lets quarantined upstreams whose term has ended take one
+// probe, and forgets sizes of upstreams that are long gone. An upstream that
+// is offered no work that may probe it for another term is let out on trial:
+// the next failure confines it again.
 func (c *Cell) Tick(now clock.Millis) {
-	for _, u := range c.health.quarantined {
-		if !u.probing && now >= u.until {
+	for _, u := range slices.Clone(c.health.quarantined) {
+		switch {
+		case now < u.until:
+		case u.paused || u.probing && u.probe == "" && now >= u.until+u.term:
+			trial := condition{strikes: u.strikes, term: u.term}
+			c.release(u)
+			u.condition = trial
+			c.touch(u, nothing)
+		case !u.probing:
 			u.probing = true
 			c.noteFreed(u)
 		}
--- a/queuer/add.go
+++ b/queuer/add.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// impossible tells why no task of a lane can run, were all upstreams empty.
+func (q *Queuer) impossible(l *lane) dispatcher.Refusal {
+	r := neverFits(placer.Task{Need: l.key.need})
+	if g, is := l.gang(); is && q.cell.EverFits(l.key.need) {
+		r.Detail = fmt.Sprintf("the upstreams of the zone together don't hold %d times %s", g.Size, describe(l.key.need))
+		r.Remedy = "submit a smaller job, or add upstreams"
+	}
+	return r
+}
+
 func countOf(t placer.Task) class {
 	if t.Urgent {
 		return urgentClass
--- a/queuer/decide.go
+++ b/queuer/decide.go
@@ -228,11 +228,6 @@
 	if l.blockedSince == 0 {
 		l.blockedSince = q.now
 	}
-	if !l.watched && !q.isPossible(l) {
-		l.watched = true
-		l.impossibleSince = q.now
-		q.watched = append(q.watched, l)
-	}
 }
 
 func (q *Queuer) isPossible(l *lane) bool {
--- a/queuer/depend.go
+++ b/queuer/depend.go
@@ -1,6 +1,7 @@
 package queuer
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"slices"
@@ -151,6 +152,18 @@
 	}
 }
 
+// watchImpossible finds lanes whose tasks fit no upstream, full or empty.
+func (q *Queuer) watchImpossible() {
+	for _, l := range q.lanes {
+		if l.block == byCapacity && !l.watched && !q.isPossible(l) {
+			l.watched = true
+			l.impossibleSince = q.now
+			q.watched = append(q.watched, l)
+		}
+	}
+	slices.SortFunc(q.watched, func(a, b *lane) int { return cmp.Compare(a.at, b.at) })
+}
+
 // rejectImpossible ends the tasks that have fitted no upstream, full or empty,
 // for so long that none is expected.
 func (q *Queuer) rejectImpossible() {
@@ -165,7 +178,7 @@
 		default:
 			l.watched = false
 			for _, w := range l.all() {
-				q.reject(w, neverFits(w.Task))
+				q.reject(w, q.impossible(l))
 			}
 		}
 	}
--- a/queuer/learn.go
+++ b/queuer/learn.go
@@ -12,6 +12,9 @@
 	trustedRuns = 3
 	// smoothing is the weight of the past against one run.
 	smoothing = 8
+	// survivedTime is how long a task must have run to count as a success of
+	// its work and its upstream before it ends; services may never end.
+	survivedTime = 10 * clock.Second
 	// assumedRunTime stands for a run time that is neither declared nor
 	// learned.
 	assumedRunTime = 10 * clock.Minute
@@ -42,6 +45,9 @@
 	if !running || q.config.DeclaredSizes || !q.fair {
 		return
 	}
+	if q.now-r.Started >= survivedTime {
+		q.cell.Succeeded(r.Upstream, r.Work)
+	}
 	usage = usage.Max(unit.Resources{})
 	p := q.profile(r.Work)
 	p.size = p.size.Max(usage)
--- a/queuer/share.go
+++ b/queuer/share.go
@@ -8,10 +8,14 @@
 // search looks from time to time for work that the order of starts alone
 // doesn't bring to its part.
 func (q *Queuer) search() {
-	if !q.fair || q.now < q.searchedAt+searchTime {
+	if q.now < q.searchedAt+searchTime {
 		return
 	}
 	q.searchedAt = q.now
+	q.watchImpossible()
+	if !q.fair {
+		return
+	}
 	q.searchReservation()
 	for range max(1, q.cell.Upstreams()/upstreamsPerMove) {
 		if q.full() || !q.preemptForShare() {
@@ -39,10 +43,14 @@
 	w := found.first()
 	charge := q.charge(w.Task)
 	found.moveAt = q.now + shareTime
+	cost := q.costForShare(found.team, charge)
+	if _, _, ok := q.cell.Victims(charge, false, cost); !ok {
+		return false
+	}
 	if found.reserved {
 		q.releaseReservation()
 	}
-	return q.mayStart(w) && q.preempt(w, charge, q.costForShare(found.team, charge))
+	return q.mayStart(w) && q.preempt(w, charge, cost)
 }
 
 func (q *Queuer) awaitsShare(l *lane) bool {
--- a/queuer/why.go
+++ b/queuer/why.go
@@ -40,7 +40,7 @@
 	case !q.started:
 		return busy("no upstream of the zone has announced itself", "start upstreams in the zone")
 	case !q.isPossible(l):
-		return neverFits(w.Task)
+		return q.impossible(l)
 	case l.block == byGang:
 		g, _ := l.gang()
 		return busy(fmt.Sprintf("only %d of the %d tasks that start together were submitted", l.live, g.Size), "submit the other tasks")
--- a/queuer/world_test.go
+++ b/queuer/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/chervilvane/chervilvane/clock"
@@ -62,8 +63,9 @@
 	ends   events
 	ids    int
 	faulty map[unit.Upstream]bool
-	report bool
-	usages []*job
+	// failing makes the work whose name starts with "bad" fail everywhere.
+	failing bool
+	usages  [2][]*job
 
 	urgentWaits, waits []clock.Millis
 	preemptions        int
@@ -82,7 +84,6 @@
 		rng:    rand.New(rand.NewPCG(seed, 1)),
 		jobs:   map[unit.Task]*job{},
 		faulty: map[unit.Upstream]bool{},
-		report: true,
 	}
 }
 
@@ -160,14 +161,21 @@
 	added.added = w.now
 }
 
-// reportUsage tells the use of each running task one second after its start.
+// reportUsage tells the use of each running task after one second, and again
+// after eleven.
 func (w *world) reportUsage() {
-	for len(w.usages) > 0 && w.now >= w.usages[0].started+clock.Second {
-		if j := w.usages[0]; j.running && w.report {
+	w.usages[0] = w.reportDue(w.usages[0], clock.Second)
+	w.usages[1] = w.reportDue(w.usages[1], 11*clock.Second)
+}
+
+func (w *world) reportDue(due []*job, after clock.Millis) []*job {
+	for len(due) > 0 && w.now >= due[0].started+after {
+		if j := due[0]; j.running {
 			w.q.Usage(j.ID, j.uses)
 		}
-		w.usages = w.usages[1:]
+		due = due[1:]
 	}
+	return due
 }
 
 func (w *world) decide() {
@@ -208,7 +216,12 @@
 	} else {
 		w.waits = append(w.waits, wait)
 	}
-	w.usages = append(w.usages, j)
+	w.usages[0] = append(w.usages[0], j)
+	w.usages[1] = append(w.usages[1], j)
+	if w.failing && strings.HasPrefix(string(j.Work), "bad") {
+		heap.Push(&w.ends, event{at: w.now + failsAfter, job: j, end: Failed{}})
+		return
+	}
 	if w.faulty[on] {
 		w.onFaulty++
 		heap.Push(&w.ends, event{at: w.now + failsAfter, job: j, end: Failed{}})
