scheduler, summarizer, registrar: move allotments between zones and tell what teams hold

A zone acquires what its waiting tasks lack, and a zone with spare allotment gives it back when another asked in vain; a part leaves use before the log is asked and returns only when the log surely didn't take it. Yielding half of the spare part was tried first: with tasks of one core it converged below the limit (3 of 4 cores ran in TestAllotmentsMoveToWhereTheWorkIs), so the whole part that others wait for is given. Shares count the other zones' holdings by a summary every 5 s. The registered state is bounded: 1000 versions of history, no request data after the end, and open records are found without reading the ended ones.

--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -87,6 +87,9 @@
 	r.st.Text = c.Text
 	r.st.Operator = c.Operator
 	r.st.History = append(r.st.History, HistoryEntry{Version: r.st.Version, Operator: c.Operator, At: c.At})
+	if excess := len(r.st.History) - maxHistory; excess > 0 {
+		r.st.History = r.st.History[excess:]
+	}
 	r.config = config
 	r.setLimits(config)
 	return ConfigAccepted{Version: r.st.Version}
@@ -165,7 +168,7 @@
 		rec = Record{Request: c.Request, AvailabilityZone: c.AvailabilityZone, At: c.At}
 	}
 	rec.Accepted = true
-	r.st.Records[c.Request.ID] = rec
+	r.put(rec)
 	return Registered{Record: rec}
 }
 
@@ -182,7 +185,7 @@
 		return Registered{Record: rec}
 	}
 	rec.Intent = Intent{Task: c.Task, Upstream: c.Upstream, Epoch: c.Epoch}
-	r.st.Records[c.Request.ID] = rec
+	r.put(rec)
 	return Registered{Record: rec, Granted: true}
 }
 
@@ -203,7 +206,7 @@
 	rec := r.st.Records[c.Request]
 	if rec.Intent.Task == c.Task && rec.Open() {
 		rec.Intent = Intent{}
-		r.st.Records[c.Request] = rec
+		r.put(rec)
 	}
 	return Registered{Record: rec}
 }
@@ -220,10 +223,12 @@
 	if rec.Open() {
 		r.st.Ended = append(r.st.Ended, c.Request)
 		rec.Outcome, rec.At = c.Outcome, c.At
+		// What was sent isn't needed any more; a resend gets the outcome.
+		rec.Request.Data = nil
 	} else if is[dispatcher.Unknown](rec.Outcome) && is[dispatcher.Done](c.Outcome) {
 		rec.Outcome = c.Outcome
 	}
-	r.st.Records[c.Request] = rec
+	r.put(rec)
 	return Registered{Record: rec}
 }
 
@@ -241,7 +246,7 @@
 		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "no such request is registered"}
 	}
 	rec.Cancelled = true
-	r.st.Records[c.Request] = rec
+	r.put(rec)
 	return Registered{Record: rec}
 }
 
--- a/registrar/query.go
+++ b/registrar/query.go
@@ -104,10 +104,8 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var open []Record
-	for _, rec := range r.st.Records {
-		if rec.Open() && rec.AvailabilityZone == az {
-			open = append(open, rec)
-		}
+	for id := range r.open[az] {
+		open = append(open, r.st.Records[id])
 	}
 	sort.Slice(open, func(i, j int) bool { return open[i].Request.ID < open[j].Request.ID })
 	return open
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,6 +31,9 @@
 // maxAnswered bounds the remembered answers to PutConfig.
 const maxAnswered = 1024
 
+// maxHistory bounds the remembered versions of the configuration.
+const maxHistory = 1000
+
 // state is all that a snapshot holds.
 type state struct {
 	Index   replicator.Index
@@ -68,14 +71,16 @@
 	mu     sync.RWMutex
 	st     state
 	config parser.Config
-	subs   []func(replicator.Index)
+	// open holds the open records of each zone; it is derived from st.
+	open map[unit.AvailabilityZone]map[unit.Request]bool
+	subs []func(replicator.Index)
 }
 
 var _ replicator.Machine = (*Registrar)(nil)
 
 // New returns the empty state.
 func New() *Registrar {
-	return &Registrar{st: emptyState()}
+	return &Registrar{st: emptyState(), open: map[unit.AvailabilityZone]map[unit.Request]bool{}}
 }
 
 func emptyState() state {
@@ -131,6 +136,10 @@
 	}
 	r.mu.Lock()
 	r.st, r.config = st, config
+	r.open = map[unit.AvailabilityZone]map[unit.Request]bool{}
+	for _, rec := range st.Records {
+		r.index(rec)
+	}
 	subs := r.subs
 	r.mu.Unlock()
 	for _, f := range subs {
@@ -139,6 +148,26 @@
 	return nil
 }
 
+// put stores a record. The caller holds the lock.
+func (r *Registrar) put(rec Record) {
+	r.st.Records[rec.Request.ID] = rec
+	r.index(rec)
+}
+
+// index notes whether a record is open.
+func (r *Registrar) index(rec Record) {
+	zone := r.open[rec.AvailabilityZone]
+	if zone == nil {
+		zone = map[unit.Request]bool{}
+		r.open[rec.AvailabilityZone] = zone
+	}
+	if rec.Open() {
+		zone[rec.Request.ID] = true
+	} else {
+		delete(zone, rec.Request.ID)
+	}
+}
+
 // parseAccepted parses a text that was checked before it was accepted.
 func parseAccepted(text []byte) (parser.Config, error) {
 	if len(text) == 0 {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"reflect"
 	"testing"
 
 	"github.com/matryer/is"
@@ -232,5 +233,15 @@
 		if string(whole.Snapshot()) != string(restored.Snapshot()) {
 			t.Fatal("the restored copy differs")
 		}
+		for _, az := range []unit.AvailabilityZone{"a", "b"} {
+			if !reflect.DeepEqual(whole.OpenRecords(az), restored.OpenRecords(az)) {
+				t.Fatal("the open records differ")
+			}
+			for _, rec := range whole.OpenRecords(az) {
+				if !rec.Open() {
+					t.Fatalf("record %s has ended and is listed as open", rec.Request.ID)
+				}
+			}
+		}
 	})
 }
--- a/runner/part.go
+++ b/runner/part.go
@@ -15,6 +15,7 @@
 	"github.com/chervilvane/chervilvane/loader"
 	"github.com/chervilvane/chervilvane/platform"
 	"github.com/chervilvane/chervilvane/scheduler"
+	"github.com/chervilvane/chervilvane/summarizer"
 	"github.com/chervilvane/chervilvane/withdrawer"
 )
 
@@ -36,13 +37,14 @@
 // parts are all that run, in the order of their start.
 type parts []part
 
-func newParts(mesh *instance.Mesh, l *log, e *elector.Elector, s *scheduler.Scheduler, w *withdrawer.Withdrawer) parts {
+func newParts(mesh *instance.Mesh, l *log, e *elector.Elector, s *scheduler.Scheduler, w *withdrawer.Withdrawer, sum *summarizer.Summarizer) parts {
 	all := parts{{"mesh", mesh.Run}}
 	all = append(all, l.parts...)
 	return append(all,
 		part{"elector", e.Run},
 		part{"scheduler", s.Run},
 		part{"withdrawer", w.Run},
+		part{"summarizer", sum.Run},
 	)
 }
 
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -16,6 +16,7 @@
 	"github.com/chervilvane/chervilvane/registrar"
 	"github.com/chervilvane/chervilvane/router"
 	"github.com/chervilvane/chervilvane/scheduler"
+	"github.com/chervilvane/chervilvane/summarizer"
 	"github.com/chervilvane/chervilvane/unit"
 	"github.com/chervilvane/chervilvane/upstream"
 	"github.com/chervilvane/chervilvane/withdrawer"
@@ -62,6 +63,12 @@
 	})
 }
 
+func newSummarizer(s loader.Settings, state *registrar.Registrar, sched *scheduler.Scheduler, mesh *instance.Mesh) *summarizer.Summarizer {
+	return summarizer.New(summarizer.Config{
+		AvailabilityZone: s.AvailabilityZone, State: state, Scheduler: sched, Send: mesh.Send,
+	})
+}
+
 func newRouter(s loader.Settings, state *registrar.Registrar, local *scheduler.Scheduler, e *elector.Elector, keys *authenticator.Authenticator, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *router.Router {
 	return router.New(router.Config{
 		Self: s.Instance, AvailabilityZone: s.AvailabilityZone, State: state, Local: local, Holder: e,
@@ -86,10 +93,11 @@
 }
 
 // registerMethods ties the mesh's methods to the parts that serve them.
-func registerMethods(mesh *instance.Mesh, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, e *elector.Elector, r *router.Router, v *versions) {
+func registerMethods(mesh *instance.Mesh, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, e *elector.Elector, r *router.Router, v *versions, sum *summarizer.Summarizer) {
 	mesh.Handle(proposer.Method, p.Handle)
 	mesh.Handle(withdrawer.Method, w.Handle)
 	mesh.Handle(methodVersion, v.handle)
+	mesh.Handle(summarizer.Method, sum.Handle)
 	lg.register(mesh)
 	for method, handler := range e.Handlers() {
 		mesh.Handle(method, handler)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -45,7 +45,7 @@
 			newLogger, newMeter, newTracer, newCredentials,
 			newMesh, newState, newLog,
 			newAuthenticator, newWithdrawer,
-			newElector, newUpstreams, newScheduler, newRouter,
+			newElector, newUpstreams, newScheduler, newSummarizer, newRouter,
 			newHealth, newVersions, newCallerServer, newOperatorServer, newHTTPServer,
 			newParts,
 		),
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -33,7 +33,9 @@
 	tasks   map[unit.Task]unit.Queue
 	// changed says that the queue may have something to decide.
 	changed bool
-	out     []dispatcher.Effect
+	// releases are the parts of allotments that the queue took out of use.
+	releases map[unit.Team]unit.Resources
+	out      []dispatcher.Effect
 }
 
 func newCore(az unit.AvailabilityZone, state *registrar.Registrar, c dispatcher.Config) *core {
@@ -91,7 +93,7 @@
 		}
 		k.q.SetTeams(teams)
 	}
-	k.q.SetAllotments(k.state.Allotments(k.az))
+	k.releases = k.q.AdjustAllotments(k.state.Allotments(k.az), k.state.Excess(k.az))
 	k.changed = true
 }
 
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -47,6 +47,8 @@
 	if now >= s.refreshAt {
 		s.refreshAt = now + refreshEvery
 		s.core.refresh()
+		s.moveAllotments(now)
+		s.shareOthers(now)
 	}
 	if now >= s.restoreAt {
 		s.restoreAt = now + restoreEvery
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,10 @@
 	refreshAt clock.Millis
 	restoreAt clock.Millis
 
+	allotments allotments
+	// others are the last summaries of the other zones.
+	others map[unit.AvailabilityZone]summary
+
 	callers callers
 	records records
 	// work holds the calls to upstreams and the log.
