scheduler, parser, registrar: run the services, batch work and jobs of the text

Each batch task and job has one home zone and is accepted in the log once, so it runs and ends as any accepted request, over takeovers; its end is kept for as long as the text has the work. Services have slots per zone, restarted with backoff and found again by a new scheduler from the upstreams' reports. Dependencies settle from the log, so they hold across zones. Work of a zone that is declared lost moves. Weighed: services in the log too; their tasks end and start for ever, and what runs is known by the upstreams, so the log would only add writes. A full queue no longer ends accepted work: it is tried again later.

--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -185,6 +185,20 @@
 	d.abandon(now, t.a, &why)
 }
 
+// Postpone tries a waiting task again later, if its request was accepted: its
+// caller was told that it will run, so a full queue is no end of it. It reports
+// false for any other request.
+func (d *Dispatcher) Postpone(now clock.Millis, id unit.Task) bool {
+	t := d.tasks[id]
+	if t == nil || t.a.over || !t.a.r.accepted {
+		return false
+	}
+	t.a.blameless = true
+	t.a.pause = clock.Second
+	d.abandon(now, t.a, nil)
+	return true
+}
+
 // Outcome returns a request's outcome, nil while it is open. known is false if
 // the request was never heard of or is forgotten.
 func (d *Dispatcher) Outcome(id unit.Request) (o Outcome, known bool) {
--- a/dispatcher/tick.go
+++ b/dispatcher/tick.go
@@ -97,6 +97,10 @@
 	}
 }
 
+// IsQuiet reports whether everything that earlier schedulers started is known
+// or has surely ended.
+func (d *Dispatcher) IsQuiet() bool { return d.epoch != 0 && d.quiet }
+
 func (d *Dispatcher) queueHeld(now clock.Millis) {
 	var due []*request
 	for _, r := range d.held {
--- a/operator/server.go
+++ b/operator/server.go
@@ -134,9 +134,10 @@
 		LogLeader        unit.Instance
 		LogFreshMillis   clock.Millis
 		Zones            []zone
+		Work             []workLine
 		Scheduler        any
 	}{
-		s.c.Self, s.c.AvailabilityZone, version, s.c.Leader(), s.c.Clock.Now() - s.c.FreshAt(), zones,
+		s.c.Self, s.c.AvailabilityZone, version, s.c.Leader(), s.c.Clock.Now() - s.c.FreshAt(), zones, s.works(config),
 		struct {
 			Holding bool
 			Epoch   unit.Epoch
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -16,6 +17,7 @@
 
 	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/loader"
 	"github.com/chervilvane/chervilvane/operator"
 	"github.com/chervilvane/chervilvane/registrar"
@@ -153,3 +155,27 @@
 	is.Equal(w.Code, 200)
 	is.True(strings.Contains(w.Body.String(), `"LogLeader":"a1"`))
 }
+
+func TestStatusTellsHowFarWorkIs(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	work := text + "Batches: [{Name: nightly, Team: booking, Count: 3}]\n"
+	is.Equal(f.send(http.MethodPut, "/v1/config?base=0", work, f.token.Text()).Code, 200)
+	config, _ := f.state.Config()
+	outcomes := []dispatcher.Outcome{
+		dispatcher.Done{},
+		dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonNeverFits, Detail: "too large"}},
+	}
+	for i, o := range outcomes {
+		id := config.Batches[0].Key().Request(strconv.Itoa(i))
+		for _, c := range []registrar.Command{
+			registrar.AcceptRequest{Request: dispatcher.Request{ID: id}, AvailabilityZone: "a"},
+			registrar.EndRequest{Request: id, Outcome: dispatcher.MarshalOutcome(o)},
+		} {
+			_, err := f.propose(context.Background(), c)
+			is.NoErr(err)
+		}
+	}
+	body := f.send(http.MethodGet, "/v1/status", "", "").Body.String()
+	is.True(strings.Contains(body, `"Pieces":3,"Done":1,"Failed":1,"Reason":"NeverFits","Detail":"too large"`))
+}
--- a/parser/home.go
+++ b/parser/home.go
@@ -21,12 +21,22 @@
 	if named && c.HasZone(unit.AvailabilityZone(prefix)) {
 		return unit.AvailabilityZone(prefix), true
 	}
+	names := make([]unit.AvailabilityZone, 0, len(c.AvailabilityZones))
+	for _, z := range c.AvailabilityZones {
+		names = append(names, z.Name)
+	}
+	return rendezvous(names, id)
+}
+
+// rendezvous returns the zone with the highest score for an id: when a zone
+// goes or comes, only the ids that it wins move.
+func rendezvous(zones []unit.AvailabilityZone, id string) (unit.AvailabilityZone, bool) {
 	var best unit.AvailabilityZone
 	var bestScore uint64
-	for _, z := range c.AvailabilityZones {
-		score := xxhash.Sum64String(string(z.Name) + "\x00" + id)
+	for _, z := range zones {
+		score := xxhash.Sum64String(string(z) + "\x00" + id)
 		if best == "" || score > bestScore {
-			best, bestScore = z.Name, score
+			best, bestScore = z, score
 		}
 	}
 	return best, best != ""
--- /dev/null
+++ b/parser/key.go
@@ -0,0 +1,105 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Key names one definition of a piece of work: its name and a digest of all its
+// fields. A changed definition is other work: it runs anew, and what ran under
+// the old key is ended.
+type Key string
+
+func keyOf(name unit.Work, definition any) Key {
+	return Key(fmt.Sprintf("%s@%016x", name, xxhash.Sum64(encoder.Marshal(definition))))
+}
+
+// requestPrefix starts the ids of requests that are pieces of the text's work.
+// A caller's id is scoped by its account and can't hold an "@" after it.
+const requestPrefix = "work/"
+
+// Request returns the id of one piece of the work.
+func (k Key) Request(piece string) unit.Request {
+	return unit.Request(requestPrefix + string(k) + "/" + piece)
+}
+
+// KeyOf returns the key of the work that a request is a piece of; ok is false
+// for a caller's request.
+func KeyOf(id unit.Request) (k Key, ok bool) {
+	rest, isWork := strings.CutPrefix(string(id), requestPrefix)
+	name, _, hasPiece := strings.Cut(rest, "/")
+	return Key(name), isWork && hasPiece && strings.Contains(name, "@")
+}
+
+// Key returns the service's key. Count is left out, so that a service is scaled
+// without a restart.
+func (s Service) Key() Key {
+	s.Count = 0
+	return keyOf(s.Name, s)
+}
+
+// Key returns the batch work's key. Count is left out, so that tasks can be
+// added.
+func (b Batch) Key() Key {
+	b.Count = 0
+	return keyOf(b.Name, b)
+}
+
+// Key returns the job's key.
+func (j Job) Key() Key { return keyOf(j.Name, j) }
+
+// Keys returns the keys of all work of the text.
+func (c Config) Keys() map[Key]bool {
+	keys := map[Key]bool{}
+	for _, s := range c.Services {
+		keys[s.Key()] = true
+	}
+	for _, b := range c.Batches {
+		keys[b.Key()] = true
+	}
+	for _, j := range c.Jobs {
+		keys[j.Key()] = true
+	}
+	return keys
+}
+
+// LiveZones returns the zones that aren't declared lost, in the text's order.
+func (c Config) LiveZones() []unit.AvailabilityZone {
+	var live []unit.AvailabilityZone
+	for _, z := range c.AvailabilityZones {
+		if !z.Lost {
+			live = append(live, z.Name)
+		}
+	}
+	return live
+}
+
+// LiveHome returns the home of a piece of the text's work among the zones that
+// aren't declared lost. Unlike a caller's request it moves when its zone is
+// lost, since nobody resends it.
+func (c Config) LiveHome(id string) (unit.AvailabilityZone, bool) {
+	return rendezvous(c.LiveZones(), id)
+}
+
+// ServicePart returns how many of a service's tasks run in a zone: an even
+// part, where the zones that get one more differ between services.
+func (c Config) ServicePart(s Service, az unit.AvailabilityZone) int {
+	live := c.LiveZones()
+	for i, name := range live {
+		if name != az {
+			continue
+		}
+		shift := int(xxhash.Sum64String(string(s.Name)) % uint64(len(live)))
+		part := s.Count / len(live)
+		if (i+shift)%len(live) < s.Count%len(live) {
+			part++
+		}
+		return part
+	}
+	return 0
+}
--- /dev/null
+++ b/parser/key_test.go
@@ -0,0 +1,47 @@
+package parser
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+func TestServicePartsSumToCount(t *testing.T) {
+	is := is.New(t)
+	c := Config{AvailabilityZones: []AvailabilityZone{{Name: "a"}, {Name: "b", Lost: true}, {Name: "c"}, {Name: "d"}}}
+	for count := range 12 {
+		s := Service{Name: "web", Count: count}
+		sum := 0
+		for _, z := range c.AvailabilityZones {
+			part := c.ServicePart(s, z.Name)
+			is.True(part <= count/3+1)
+			sum += part
+		}
+		is.Equal(sum, count)
+		is.Equal(c.ServicePart(s, "b"), 0) // nothing runs in a lost zone
+	}
+}
+
+func TestKeysTellDefinitionsApart(t *testing.T) {
+	is := is.New(t)
+	j := Job{Name: "proof", Tasks: 2}
+	changed := j
+	changed.Tasks = 3
+	is.True(j.Key() != changed.Key())
+	is.Equal(Service{Name: "web", Count: 1}.Key(), Service{Name: "web", Count: 9}.Key())
+}
+
+func TestWorkMovesOnlyFromTheLostZone(t *testing.T) {
+	is := is.New(t)
+	before := Config{AvailabilityZones: []AvailabilityZone{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+	after := Config{AvailabilityZones: []AvailabilityZone{{Name: "a"}, {Name: "b", Lost: true}, {Name: "c"}}}
+	for i := range 200 {
+		id := string(rune('0' + i))
+		was, _ := before.LiveHome(id)
+		now, _ := after.LiveHome(id)
+		is.True(now == was || was == unit.AvailabilityZone("b"))
+		is.True(now != "b")
+	}
+}
--- a/registrar/apply.go
+++ b/registrar/apply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 
 	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
@@ -90,7 +91,9 @@
 	if excess := len(r.st.History) - maxHistory; excess > 0 {
 		r.st.History = r.st.History[excess:]
 	}
-	r.config = config
+	before := r.works
+	r.config, r.works = config, config.Keys()
+	r.letGo(before)
 	r.setLimits(config)
 	return ConfigAccepted{Version: r.st.Version}
 }
@@ -167,11 +170,26 @@
 	if !known {
 		rec = Record{Request: c.Request, AvailabilityZone: c.AvailabilityZone, At: c.At}
 	}
+	if rec.Open() && rec.AvailabilityZone != c.AvailabilityZone && r.isLost(rec.AvailabilityZone) {
+		delete(r.open[rec.AvailabilityZone], rec.Request.ID)
+		rec.AvailabilityZone = c.AvailabilityZone
+	}
 	rec.Accepted = true
 	r.put(rec)
 	return Registered{Record: rec}
 }
 
+// isLost reports whether the operators declared a zone lost. An accepted
+// request of such a zone moves to the zone that accepts it again.
+func (r *Registrar) isLost(az unit.AvailabilityZone) bool {
+	for _, z := range r.config.AvailabilityZones {
+		if z.Name == az {
+			return z.Lost
+		}
+	}
+	return false
+}
+
 func (r *Registrar) intend(c IntendStart) Result {
 	r.tick(c.At)
 	if fenced, is := r.fence(c.AvailabilityZone, c.Epoch); is {
@@ -221,7 +239,9 @@
 		return Rejected{Reason: dispatcher.ReasonBadRequest, Detail: "an upstream may have been asked to run the request"}
 	}
 	if rec.Open() {
-		r.st.Ended = append(r.st.Ended, c.Request)
+		if !r.keeps(c.Request) {
+			r.st.Ended = append(r.st.Ended, c.Request)
+		}
 		rec.Outcome, rec.At = c.Outcome, c.At
 		// What was sent isn't needed any more; a resend gets the outcome.
 		rec.Request.Data = nil
@@ -250,6 +270,27 @@
 	return Registered{Record: rec}
 }
 
+// keeps reports whether the end of a request is kept for as long as the text
+// has its work: without it the work would run again.
+func (r *Registrar) keeps(id unit.Request) bool {
+	key, isWork := parser.KeyOf(id)
+	return isWork && r.works[key]
+}
+
+// letGo lists the ended pieces of work that the text had before and hasn't any
+// more among those that are forgotten in time.
+func (r *Registrar) letGo(before map[parser.Key]bool) {
+	var ids []unit.Request
+	for id, rec := range r.st.Records {
+		key, isWork := parser.KeyOf(id)
+		if isWork && before[key] && !r.works[key] && !rec.Open() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	r.st.Ended = append(r.st.Ended, ids...)
+}
+
 // tick moves the state's time forward and forgets what ended long ago.
 func (r *Registrar) tick(at clock.Millis) {
 	r.st.Time = max(r.st.Time, at)
@@ -258,7 +299,10 @@
 		if r.st.Records[id].At+KeepEnded > r.st.Time {
 			return
 		}
-		delete(r.st.Records, id)
 		r.st.Ended = r.st.Ended[1:]
+		// The text may have the work again.
+		if !r.keeps(id) {
+			delete(r.st.Records, id)
+		}
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -71,6 +71,8 @@
 	mu     sync.RWMutex
 	st     state
 	config parser.Config
+	// works are the keys of the text's work; derived from config.
+	works map[parser.Key]bool
 	// open holds the open records of each zone; it is derived from st.
 	open map[unit.AvailabilityZone]map[unit.Request]bool
 	subs []func(replicator.Index)
@@ -135,7 +137,7 @@
 		return err
 	}
 	r.mu.Lock()
-	r.st, r.config = st, config
+	r.st, r.config, r.works = st, config, config.Keys()
 	r.open = map[unit.AvailabilityZone]map[unit.Request]bool{}
 	for _, rec := range st.Records {
 		r.index(rec)
--- a/scheduler/apply.go
+++ b/scheduler/apply.go
@@ -41,7 +41,10 @@
 			k.q.DropCarry(team)
 		}
 		k.changed = true
-	case dispatcher.Intend, dispatcher.Unintend, dispatcher.Send, dispatcher.Halt, dispatcher.Record, dispatcher.Answer:
+	case dispatcher.Answer:
+		k.text.ended(now, e.Request, e.Outcome)
+		k.out = append(k.out, e)
+	case dispatcher.Intend, dispatcher.Unintend, dispatcher.Send, dispatcher.Halt, dispatcher.Record:
 		k.out = append(k.out, e)
 	}
 }
@@ -72,35 +75,60 @@
 		// Another task of the attempt was rejected meanwhile.
 		return
 	}
-	queue, ok := k.config.FindQueue(e.Request.Queue)
+	s, ok := k.specOf(e.Request)
 	if !ok {
-		k.d.Reject(now, e.Task, dispatcher.Refusal{
-			Reason: dispatcher.ReasonNoSuchQueue,
-			Detail: "the configuration in force has no queue " + string(e.Request.Queue),
-			Remedy: "submit to a queue of the configuration",
-		})
+		k.d.Reject(now, e.Task, notInText(e.Request))
 		return
 	}
-	if queue.MaxWaiting > 0 && k.waiting[queue.Name] >= queue.MaxWaiting {
-		k.d.Reject(now, e.Task, dispatcher.Refusal{
-			Reason:     dispatcher.ReasonOverloaded,
-			Detail:     "the queue holds as many waiting requests as it may",
-			Remedy:     "send it again later, or raise the queue's MaxWaiting",
-			RetryAfter: clock.Second,
-		})
+	if s.maxWaiting > 0 && k.waiting[s.queue] >= s.maxWaiting {
+		k.turnAway(now, e.Task, queueFull)
 		return
 	}
-	t := task(queue, e)
+	t := s.task(e.Task, e.Attempt, e.Size, e.Request)
+	t.Deadline = e.Deadline
 	k.d.SetNeed(e.Task, t.Need)
 	if refusal := k.q.Add(now, t); refusal != nil {
-		k.d.Reject(now, e.Task, *refusal)
+		k.turnAway(now, e.Task, *refusal)
 		return
 	}
-	k.waiting[queue.Name]++
-	k.tasks[e.Task] = queue.Name
+	k.waiting[s.queue]++
+	k.tasks[e.Task] = s.queue
 	k.changed = true
 }
 
+// turnAway rejects a task that the queue doesn't take, or tries it again later
+// if the queue is only full and the request was accepted.
+func (k *core) turnAway(now clock.Millis, id unit.Task, why dispatcher.Refusal) {
+	if why.Reason == dispatcher.ReasonOverloaded && k.d.Postpone(now, id) {
+		return
+	}
+	k.d.Reject(now, id, why)
+}
+
+var queueFull = dispatcher.Refusal{
+	Reason:     dispatcher.ReasonOverloaded,
+	Detail:     "the queue holds as many waiting requests as it may",
+	Remedy:     "send it again later, or raise the queue's MaxWaiting",
+	RetryAfter: clock.Second,
+}
+
+// notInText is the refusal of a request whose queue or work the configuration
+// in force doesn't have.
+func notInText(r dispatcher.Request) dispatcher.Refusal {
+	if key, is := parser.KeyOf(r.ID); is {
+		return dispatcher.Refusal{
+			Reason: dispatcher.ReasonCancelled,
+			Detail: "the configuration in force doesn't have the work " + string(key) + " any more",
+			Remedy: "put the work back into the text",
+		}
+	}
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoSuchQueue,
+		Detail: "the configuration in force has no queue " + string(r.Queue),
+		Remedy: "submit to a queue of the configuration",
+	}
+}
+
 // leaveQueue counts a task off its queue.
 func (k *core) leaveQueue(id unit.Task) {
 	queue, waits := k.tasks[id]
@@ -114,62 +142,12 @@
 	}
 }
 
-// task describes a queued request to the placer.
-func task(queue parser.Queue, e dispatcher.Enqueue) placer.Task {
-	return placer.Task{
-		ID:         e.Task,
-		Team:       queue.Team,
-		Account:    e.Request.Account,
-		Work:       queueWork(queue.Name),
-		Kind:       kind(queue.Class, e.Attempt, e.Size, e.Request.Repeatable),
-		Need:       queue.Need,
-		Urgent:     queue.Urgent,
-		Repeatable: e.Request.Repeatable,
-		RunTime:    queue.RunTime,
-		Deadline:   e.Deadline,
-	}
-}
-
-// queueWork is the work that a queue's requests are learned under.
-func queueWork(queue unit.Queue) unit.Work {
-	return unit.Work("queue/" + queue)
-}
-
-// kind returns the placement policy of a queue's class. A task that isn't
-// repeatable is never preempted: its one start is used up.
-func kind(class parser.Class, attempt unit.Task, size int, repeatable bool) placer.Kind {
-	switch class := class.(type) {
-	case parser.AllAtOnce:
-		return placer.Gang{Work: unit.Work(attempt), Size: size}
-	case parser.Deferred:
-		return placer.Batch{Checkpoints: class.Checkpoints && repeatable}
-	default:
-		return placer.Service{}
-	}
-}
-
-// size returns how many tasks a queue's requests start together.
-func (k *core) size(name unit.Queue) int {
-	queue, _ := k.config.FindQueue(name)
-	if class, is := queue.Class.(parser.AllAtOnce); is {
-		return class.Tasks
-	}
-	return 1
-}
-
 // adopted describes a task that was found running.
 func (k *core) adopted(e dispatcher.Adopt) placer.Task {
-	queue, _ := k.config.FindQueue(e.Request.Queue)
+	s, _ := k.specOf(e.Request)
 	attempt, size := dispatcher.Attempt(e.Running.Task)
-	return placer.Task{
-		ID:         e.Running.Task,
-		Team:       e.Running.Team,
-		Account:    e.Request.Account,
-		Work:       queueWork(queue.Name),
-		Kind:       kind(queue.Class, attempt, size, e.Request.Repeatable),
-		Need:       e.Running.Need,
-		Urgent:     queue.Urgent,
-		Repeatable: e.Request.Repeatable,
-		RunTime:    queue.RunTime,
-	}
+	t := s.task(e.Running.Task, attempt, size, e.Request)
+	t.Team = e.Running.Team
+	t.Need = e.Running.Need
+	return t
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -21,13 +21,17 @@
 // registered state and the time that it is given, and returns the effects that
 // leave the process.
 type core struct {
-	az    unit.AvailabilityZone
-	state *registrar.Registrar
-	d     *dispatcher.Dispatcher
-	q     *queuer.Queuer
+	az      unit.AvailabilityZone
+	state   *registrar.Registrar
+	newTask func() unit.Task
+	d       *dispatcher.Dispatcher
+	q       *queuer.Queuer
 	// config is the configuration that the queue was told.
 	config  parser.Config
 	version unit.Version
+	// works are the specs of the text's work.
+	works map[parser.Key]spec
+	text  textWork
 	// waiting counts the queued tasks of each queue; tasks holds theirs.
 	waiting map[unit.Queue]int
 	tasks   map[unit.Task]unit.Queue
@@ -39,7 +43,7 @@
 }
 
 func newCore(az unit.AvailabilityZone, state *registrar.Registrar, c dispatcher.Config) *core {
-	k := &core{az: az, state: state, d: dispatcher.New(c)}
+	k := &core{az: az, state: state, newTask: c.NewTask, d: dispatcher.New(c)}
 	k.reset()
 	return k
 }
@@ -50,6 +54,7 @@
 	k.waiting = map[unit.Queue]int{}
 	k.tasks = map[unit.Task]unit.Queue{}
 	k.version = 0
+	k.text = textWork{}
 }
 
 // hold begins to schedule the zone under an epoch.
@@ -87,6 +92,8 @@
 	config, version := k.state.Config()
 	if version != k.version {
 		k.config, k.version = config, version
+		k.works = workSpecs(config)
+		k.text.plan(config, k.az)
 		teams := make([]queuer.Team, 0, len(config.Teams))
 		for _, t := range config.Teams {
 			teams = append(teams, queuer.Team{Name: t.Name, Share: t.Share, Limit: t.Limit})
@@ -100,7 +107,7 @@
 // restore takes the open requests that the log holds.
 func (k *core) restore(now clock.Millis) {
 	for _, rec := range k.state.OpenRecords(k.az) {
-		k.d.Restore(now, known(rec), k.size(rec.Request.Queue))
+		k.d.Restore(now, known(rec), k.size(rec.Request))
 	}
 }
 
@@ -126,11 +133,11 @@
 func (k *core) submit(now clock.Millis, r dispatcher.Request) {
 	rec, registered := k.state.Record(r.ID)
 	if !registered {
-		k.d.Submit(now, r, k.size(r.Queue), nil)
+		k.d.Submit(now, r, k.size(r), nil)
 		return
 	}
 	have := known(rec)
-	k.d.Submit(now, r, k.size(r.Queue), &have)
+	k.d.Submit(now, r, k.size(r), &have)
 }
 
 // report takes an upstream's report.
@@ -138,6 +145,9 @@
 	reply := k.d.Heard(now, r)
 	k.flush(now)
 	for _, running := range r.Running {
+		if k.text.found(running.Request) {
+			k.d.Cancel(now, running.Request)
+		}
 		k.q.Usage(running.Task, running.Usage)
 	}
 	return reply
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -85,7 +85,7 @@
 	switch result := result.(type) {
 	case registrar.Registered:
 		s.with(func(now clock.Millis) {
-			s.core.d.Restore(now, known(result.Record), s.core.size(r.Queue))
+			s.core.d.Restore(now, known(result.Record), s.core.size(r))
 		})
 		s.c.Metrics.Counter("accepted").Inc(1)
 		return true, nil
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -48,6 +48,9 @@
 		s.refreshAt = now + refreshEvery
 		s.core.refresh()
 		s.moveAllotments(now)
+		if s.core.d.Epoch() != 0 {
+			s.runText(now)
+		}
 		s.shareOthers(now)
 	}
 	if now >= s.restoreAt {
