--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -165,9 +165,9 @@
 
 func TestQuestions(t *testing.T) {
 	const state = `{"Instance":"a1","AvailabilityZone":"a","Version":7,"LogLeader":"b1","LogFreshMillis":40,` +
-		`"Zones":[{"AvailabilityZone":"a","Epoch":3,"Holder":"a1"}],"Scheduler":{"Holding":true,"Epoch":3,"Running":2,` +
-		`"Upstreams":[{"Upstream":"w1","Rack":"r1","Holds":{"CPU":8000,"Memory":16000000000,"Slots":8},"Used":{"CPU":1500,"Memory":0,"Slots":2},"State":"Ready"}],` +
-		`"Waiting":[{"Task":"t1","Team":"booking","Reason":"TeamLimit","Detail":"full","Remedy":"raise it"}]}}`
+		`"Zones":[{"AvailabilityZone":"a","Epoch":3,"Holder":"a1"}],"Scheduler":{"Holding":true,"Epoch":3,` +
+		`"Upstreams":[{"ID":"w1","Rack":"r1","Holds":{"CPU":8000,"Memory":16000000000,"Slots":8},"Used":{"CPU":1500,"Memory":0,"Slots":2},"Tasks":2,"State":"Ready"}],` +
+		`"Waiting":1,"First":[{"Task":"t1","Team":"booking","Why":{"Reason":"TeamLimit","Detail":"full","Remedy":"raise it"}}]}}`
 	routes := map[string]answer{
 		"GET /v1/status":         {200, state},
 		"GET /v1/config":         {200, `{"Version":7,"Text":"Teams: []\n"}`},
@@ -182,15 +182,16 @@
 		out    string
 		note   string
 	}{
-		"status as JSON": {"status -o json", StatusDone, state, ""},
-		"status":         {"status", StatusDone, "w1        r1    Ready  1500m/8  0B/16GB  2/8", ""},
-		"show":           {"show", StatusDone, "Teams: []\n", "version 7"},
-		"history":        {"history", StatusDone, "7        ana       1970-01-01T00:00:01Z", ""},
-		"result pending": {"result r1", StatusNotDone, "", "Pending: TeamLimit"},
-		"result as JSON": {"result r1 -o json", StatusNotDone, `"Outcome":"Pending"`, ""},
-		"cancelled":      {"cancel r1", StatusDone, "", "NotRun: Cancelled"},
-		"result of none": {"result r2", StatusNotDone, "", "NoSuchRequest: no r2"},
-		"version":        {"version", StatusDone, "v0", ""},
+		"status as JSON":  {"status -o json", StatusDone, state, ""},
+		"status":          {"status", StatusDone, "w1        r1    Ready  2      1500m/8  0B/16GB  2/8", ""},
+		"status, waiting": {"status", StatusDone, "t1            booking  TeamLimit: full (remedy: raise it)", ""},
+		"show":            {"show", StatusDone, "Teams: []\n", "version 7"},
+		"history":         {"history", StatusDone, "7        ana       1970-01-01T00:00:01Z", ""},
+		"result pending":  {"result r1", StatusNotDone, "", "Pending: TeamLimit"},
+		"result as JSON":  {"result r1 -o json", StatusNotDone, `"Outcome":"Pending"`, ""},
+		"cancelled":       {"cancel r1", StatusDone, "", "NotRun: Cancelled"},
+		"result of none":  {"result r2", StatusNotDone, "", "NoSuchRequest: no r2"},
+		"version":         {"version", StatusDone, "v0", ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/commander/status.go
+++ b/commander/status.go
@@ -12,6 +12,7 @@
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/decoder"
 	"github.com/chervilvane/chervilvane/operator"
+	"github.com/chervilvane/chervilvane/scheduler"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -34,27 +35,9 @@
 }
 
 type schedulerStatus struct {
-	Holding   bool
-	Epoch     unit.Epoch
-	Upstreams []upstreamStatus
-	Waiting   []waitingStatus
-	Running   int
-}
-
-type upstreamStatus struct {
-	Upstream unit.Upstream
-	Rack     unit.Rack
-	Holds    unit.Resources
-	Used     unit.Resources
-	State    string
-}
-
-type waitingStatus struct {
-	Task   unit.Task
-	Team   unit.Team
-	Reason string
-	Detail string
-	Remedy string
+	Holding bool
+	Epoch   unit.Epoch
+	scheduler.Status
 }
 
 func (c *Commander) statusCommand() *ffcli.Command {
@@ -95,21 +78,25 @@
 }
 
 func (s schedulerStatus) print(w io.Writer) {
-	fmt.Fprintf(w, "\nscheduler at epoch %d: %d upstreams, %d tasks running, %d waiting\n", s.Epoch, len(s.Upstreams), s.Running, len(s.Waiting))
+	running := 0
+	for _, u := range s.Upstreams {
+		running += u.Tasks
+	}
+	fmt.Fprintf(w, "\nscheduler at epoch %d: %d upstreams, %d tasks running, %d waiting\n", s.Epoch, len(s.Upstreams), running, s.Waiting)
 	if len(s.Upstreams) > 0 {
-		table(w, []any{"UPSTREAM", "RACK", "STATE", "CPU", "MEMORY", "SLOTS"}, func(row func(...any)) {
+		table(w, []any{"UPSTREAM", "RACK", "STATE", "TASKS", "CPU", "MEMORY", "SLOTS"}, func(row func(...any)) {
 			for _, u := range s.Upstreams {
-				row(u.Upstream, u.Rack, u.State,
+				row(u.ID, u.Rack, u.State, u.Tasks,
 					decoder.FormatCPU(u.Used.CPU)+"/"+decoder.FormatCPU(u.Holds.CPU),
 					decoder.FormatMemory(u.Used.Memory)+"/"+decoder.FormatMemory(u.Holds.Memory),
 					fmt.Sprintf("%d/%d", u.Used.Slots, u.Holds.Slots))
 			}
 		})
 	}
-	if len(s.Waiting) > 0 {
-		table(w, []any{"TASK", "TEAM", "REASON", "DETAIL", "REMEDY"}, func(row func(...any)) {
-			for _, t := range s.Waiting {
-				row(t.Task, t.Team, t.Reason, t.Detail, t.Remedy)
+	if len(s.First) > 0 {
+		table(w, []any{"WAITING TASK", "TEAM", "WHY"}, func(row func(...any)) {
+			for _, t := range s.First {
+				row(t.Task, t.Team, refusalText(t.Why))
 			}
 		})
 	}
