--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,165 @@
+package placer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// TestMain fixes the seed of the property tests, so that each run gives the
+// same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestIndex compares the index with a plain list under random changes.
+func TestIndex(t *testing.T) {
+	amount := rapid.Int64Range(-2, 5)
+	rapid.Check(t, func(t *rapid.T) {
+		x := newIndex()
+		ranks := map[int32]int64{}
+		owns := map[int32]vector{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			slot := rapid.Int32Range(0, 20).Draw(t, "slot")
+			if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+				x.remove(slot)
+				delete(owns, slot)
+			} else {
+				ranks[slot] = rapid.Int64Range(0, 4).Draw(t, "rank")
+				owns[slot] = vector{amount.Draw(t, "a"), amount.Draw(t, "b"), 0, 0, 0}
+				x.put(slot, ranks[slot], owns[slot])
+			}
+			need := vector{amount.Draw(t, "needA"), amount.Draw(t, "needB"), 0, 0, 0}
+			want := []int32{}
+			for slot, own := range owns {
+				if covers(&own, &need) {
+					want = append(want, slot)
+				}
+			}
+			slices.SortFunc(want, func(a, b int32) int {
+				return compare(ranks[a]*1000+int64(a), ranks[b]*1000+int64(b))
+			})
+			up, down := []int32{}, []int32{}
+			x.ascend(&need, func(slot int32) bool { up = append(up, slot); return true })
+			x.descend(&need, func(slot int32) bool { down = append(down, slot); return true })
+			slices.Reverse(down)
+			if !slices.Equal(up, want) || !slices.Equal(down, want) {
+				t.Fatalf("need %v: got %v and %v, want %v", need, up, down, want)
+			}
+		}
+	})
+}
+
+func cores(n int) unit.Resources { return unit.Resources{CPU: unit.MilliCPU(n) * unit.Core} }
+
+func cellOf(scorer Scorer, holds ...int) *Cell {
+	c := NewCell(scorer)
+	for i, n := range holds {
+		c.SetWorker(0, Worker{ID: unit.Upstream(fmt.Sprint("u", i)), Rack: unit.Rack(fmt.Sprint("r", i/2)), Holds: cores(n)})
+	}
+	return c
+}
+
+func TestFind(t *testing.T) {
+	cases := map[string]struct {
+		scorer Scorer
+		given  []int
+		kind   Kind
+		want   unit.Upstream
+	}{
+		"first fit takes the first":         {scorer: FirstFit{}, given: []int{0, 4, 2, 6}, kind: Batch{}, want: "u0"},
+		"best fit takes the tightest":       {scorer: BestFit{}, given: []int{0, 4, 2, 6}, kind: Batch{}, want: "u3"},
+		"least sum takes the tightest":      {scorer: LeastSum{}, given: []int{0, 4, 2, 6}, kind: Gang{}, want: "u3"},
+		"aligned takes what fits":           {scorer: Aligned{}, given: []int{8, 8, 8, 6}, kind: Batch{}, want: "u3"},
+		"a service takes the emptiest":      {scorer: BestFit{}, given: []int{3, 4, 2, 6}, kind: Service{}, want: "u2"},
+		"nothing fits where all is given":   {scorer: BestFit{}, given: []int{8, 8, 8, 7}, kind: Batch{}},
+		"a full upstream is never overfull": {scorer: BestFit{}, given: []int{8, 8, 7, 7}, kind: Service{}},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := cellOf(tt.scorer, 8, 8, 8, 8)
+			for i, n := range tt.given {
+				id := unit.Task(fmt.Sprint("t", i))
+				c.Place(Running{Task: Task{ID: id, Kind: Batch{}}, Charge: cores(n), Upstream: unit.Upstream(fmt.Sprint("u", i))})
+			}
+			got, ok := c.Find(Task{Kind: tt.kind, Work: "work"}, cores(2))
+			is.Equal(got, tt.want)
+			is.Equal(ok, tt.want != "")
+		})
+	}
+}
+
+// TestPlacePanics shows that the always-on check stops an overcommitment.
+func TestPlacePanics(t *testing.T) {
+	is := is.New(t)
+	c := cellOf(BestFit{}, 2)
+	defer func() { is.True(recover() != nil) }()
+	c.Place(Running{Task: Task{ID: "t", Kind: Batch{}}, Charge: cores(3), Upstream: "u0"})
+}
+
+func TestShrunkUpstream(t *testing.T) {
+	is := is.New(t)
+	c := cellOf(BestFit{}, 8)
+	for i := range 4 {
+		c.Place(Running{Task: Task{ID: unit.Task(fmt.Sprint("t", i)), Kind: Batch{}}, Charge: cores(2), Upstream: "u0"})
+	}
+	c.SetWorker(0, Worker{ID: "u0", Holds: cores(5)})
+	cost := func(Running) int64 { return 0 }
+	stops := c.Overfull("u0", cost)
+	is.Equal(len(stops), 2)
+	is.Equal(stops[0].ID, unit.Task("t3")) // the last started loses least
+	for _, s := range stops {
+		is.True(c.Stop(s.ID))
+		is.True(!c.Stop(s.ID)) // once
+	}
+	is.Equal(len(c.Overfull("u0", cost)), 0)
+	_, ok := c.Find(Task{Kind: Batch{}}, cores(1))
+	is.True(!ok) // not before they have ended
+	c.End("t3")
+	c.End("t2")
+	_, ok = c.Find(Task{Kind: Batch{}}, cores(1))
+	is.True(ok)
+}
+
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	c := cellOf(BestFit{}, 8, 8, 8)
+	for i, ends := range []clock.Millis{30 * clock.Second, 10 * clock.Second, Never} {
+		c.Place(Running{Task: Task{ID: unit.Task(fmt.Sprint("t", i)), Kind: Service{}}, Charge: cores(8), Upstream: unit.Upstream(fmt.Sprint("u", i)), EndsAt: ends})
+	}
+	spare := func(Running) int64 { return -1 }
+	places, ok := c.Plan(0, cores(4), 3, spare)
+	is.True(ok)
+	is.Equal(places, []Place{{"u1", 10 * clock.Second}, {"u1", 10 * clock.Second}, {"u0", 30 * clock.Second}})
+	_, ok = c.Plan(0, cores(4), 5, spare)
+	is.True(!ok) // a service never ends
+}
+
+func TestCap(t *testing.T) {
+	cases := map[string]struct{ need, learned, want int }{
+		"learned less":                    {need: 4, learned: 2, want: 4},
+		"learned more":                    {need: 4, learned: 6, want: 6},
+		"learned more than all can hold":  {need: 4, learned: 20, want: 16},
+		"declared more than all can hold": {need: 20, learned: 30, want: 20},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(cellOf(BestFit{}, 8, 16).Cap(cores(tt.need), cores(tt.learned)), cores(tt.want))
+		})
+	}
+}
--- a/queuer/bench_test.go
+++ b/queuer/bench_test.go
@@ -223,6 +223,7 @@
 	workers       int
 	batch, urgent float64
 	gangs         int
+	teams         int
 	nextGang      clock.Millis
 }
 
@@ -251,7 +252,7 @@
 
 func (g *generator) draw() job {
 	j := g.m.batch[g.w.rng.IntN(len(g.m.batch))]
-	j.Team = teamName(g.w.rng.IntN(teamCount))
+	j.Team = teamName(g.w.rng.IntN(max(teamCount, g.teams)))
 	j.Account = unit.ClientAccount(fmt.Sprint(g.w.rng.IntN(2)))
 	j.runs = clock.Millis(float64(j.runs) * (0.5 + g.w.rng.Float64()))
 	if g.s.wrongTimes {
--- a/queuer/measure_test.go
+++ b/queuer/measure_test.go
@@ -116,3 +116,64 @@
 	}
 	b.ReportMetric(100*m.overuse, "overused-%")
 }
+
+// BenchmarkDecision measures the latency of a decision in a full cell with a
+// backlog: Decide is called for each end, and starts what fits into the room.
+func BenchmarkDecision(b *testing.B) {
+	for _, c := range []struct{ workers, teams int }{{50, 6}, {400, 6}, {5900, 6}, {50, 140}, {400, 140}, {5900, 140}} {
+		b.Run(fmt.Sprintf("%d-upstreams/%d-teams", c.workers, c.teams), func(b *testing.B) {
+			w := newWorld(Config{}, 3)
+			g := generator{w: w, m: pinecradle, workers: c.workers, teams: c.teams}
+			allotments := map[unit.Team]unit.Resources{}
+			for i := range c.teams {
+				allotments[teamName(i)] = unlimited
+			}
+			w.q.SetAllotments(allotments)
+			w.workers(c.workers, pinecradle.holds)
+			w.now = clock.Minute
+			for range c.workers*6 + 10_000 {
+				g.addBatch()
+			}
+			w.decide()
+			running := w.runningJobs()
+			var each []time.Duration
+			starts := 0
+			for len(each) < b.N {
+				j := running[w.rng.IntN(len(running))]
+				if !j.running {
+					continue
+				}
+				w.now += clock.Millisecond
+				g.addBatch()
+				begin := time.Now()
+				w.q.Ended(w.now, j.ID, Succeeded{})
+				out := w.q.Decide(w.now, 1000)
+				each = append(each, time.Since(begin))
+				j.running = false
+				delete(w.jobs, j.ID)
+				for _, d := range out {
+					w.carryOut(d)
+					if s, is := d.(Start); is {
+						running = append(running, w.jobs[s.Task])
+						starts++
+					}
+				}
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(percentile(each, 0.5)), "ns-p50")
+			b.ReportMetric(float64(percentile(each, 0.99)), "ns-p99")
+			b.ReportMetric(float64(percentile(each, 0.999)), "ns-p99.9")
+			b.ReportMetric(float64(starts)/float64(len(each)), "starts/end")
+		})
+	}
+}
+
+func (w *world) runningJobs() []*job {
+	var running []*job
+	for i := range w.ids {
+		if j := w.jobs[unit.Task(fmt.Sprintf("t%07d", i+1))]; j != nil && j.running {
+			running = append(running, j)
+		}
+	}
+	return running
+}
