--- a/queuer/bench_test.go
+++ b/queuer/bench_test.go
@@ -90,7 +90,7 @@
 	noGangs     bool
 	noPreload   bool
 	onlyBatch   bool
-	learnSizes  bool
+	seed        uint64
 	wrongTimes  bool
 	spanSeconds int
 }
@@ -107,7 +107,7 @@
 
 // run drives a scenario for five minutes after the cell has filled.
 func run(config Config, m mix, s scenario, workers int) measured {
-	w := newWorld(config, 7)
+	w := newWorld(config, s.seed)
 	w.q.SetTeams(teams())
 	w.q.SetAllotments(unlimitedAllotments())
 	w.workers(workers, m.holds)
--- a/queuer/config.go
+++ b/queuer/config.go
@@ -26,7 +26,8 @@
 const DefaultMaxWaiting = 200_000
 
 // Weights orders the measures where they compete. They are relative; all zero
-// means the same weight for each.
+// means the same weight for each. Waiting against Packing sets how soon room is
+// kept empty for a large task; without Share no work is stopped for shares.
 type Weights struct {
 	Waiting int
 	Packing int
@@ -85,6 +86,11 @@
 	return starveTime * clock.Millis(1+w.Packing) / clock.Millis(1+w.Waiting)
 }
 
+// movesForShares reports whether work is stopped for shares.
+func (c Config) movesForShares() bool {
+	return c.Weights.Share > 0 || c.Weights == Weights{}
+}
+
 // Policy is how the order of starts and their places are chosen. The set is
 // closed: Fair, Arrival.
 type Policy interface{ policy() }
--- a/queuer/measure_test.go
+++ b/queuer/measure_test.go
@@ -83,20 +83,56 @@
 	}
 }
 
-// BenchmarkScorers weighs the ways to place batch work, on batch alone.
+// BenchmarkScorers weighs the ways to place batch work, on batch alone, as the
+// mean of eight seeds.
 func BenchmarkScorers(b *testing.B) {
 	scorers := []placer.Scorer{placer.FirstFit{}, placer.BestFit{}, placer.LeastSum{}, placer.Aligned{}}
 	for _, m := range mixes {
 		for _, sc := range scorers {
 			b.Run(fmt.Sprintf("%s/%T", m.name, sc), func(b *testing.B) {
 				for range b.N {
-					report(b, run(Config{Scorer: sc}, m.mix, scenario{load: 1.5, onlyBatch: true}, 50))
+					reportMeans(b, Config{Scorer: sc}, m.mix, scenario{load: 1.5, onlyBatch: true})
 				}
 			})
 		}
 	}
 }
 
+// BenchmarkWeights measures what the operator's weights change.
+func BenchmarkWeights(b *testing.B) {
+	for _, weights := range []Weights{{}, {Waiting: 3, Packing: 1, Share: 1}, {Waiting: 1, Packing: 3, Share: 1}, {Waiting: 1, Packing: 1}} {
+		for _, m := range mixes {
+			b.Run(fmt.Sprintf("%s/%+v", m.name, weights), func(b *testing.B) {
+				for range b.N {
+					reportMeans(b, Config{Weights: weights}, m.mix, scenario{load: 1.2})
+				}
+			})
+		}
+	}
+}
+
+func reportMeans(b *testing.B, config Config, m mix, s scenario) {
+	const seeds = 8
+	var packing, distance, stops, starts, p50, p99 float64
+	for seed := range uint64(seeds) {
+		s.seed = seed + 1
+		r := run(config, m, s, 50)
+		packing += r.packing / seeds
+		distance += r.distance / seeds
+		stops += float64(r.preemptions) / seeds
+		starts += float64(r.starts) / seeds
+		p50 += float64(percentile(r.waits, 0.5)) / float64(clock.Second) / seeds
+		p99 += float64(percentile(r.waits, 0.99)) / float64(clock.Second) / seeds
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(100*packing, "packing-%")
+	b.ReportMetric(100*distance, "off-share-%")
+	b.ReportMetric(stops, "stops")
+	b.ReportMetric(starts, "starts")
+	b.ReportMetric(p50, "wait-p50-s")
+	b.ReportMetric(p99, "wait-p99-s")
+}
+
 func report(b *testing.B, m measured) {
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(float64(percentile(m.waits, 0.5))/float64(clock.Second), "wait-p50-s")
--- a/queuer/share.go
+++ b/queuer/share.go
@@ -17,7 +17,7 @@
 			q.searchReservation()
 		}
 	}
-	if q.fair && q.now >= q.movedAt+searchTime/q.moves() {
+	if q.fair && q.config.movesForShares() && q.now >= q.movedAt+searchTime/q.moves() {
 		q.movedAt = q.now
 		q.preemptForShare()
 	}
