runner, caller, logger: gauges and counters that operators alert on

The age of this instance's copy of the log, who leads, the version that runs, and for the zone's scheduler its epoch, upstreams and waiting tasks; answers to callers by outcome and reason. The error of a log line is now under Error, as the names of own formats are in Pascal case.

--- a/caller/server.go
+++ b/caller/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -46,14 +47,34 @@
 	State  *registrar.Registrar
 	Keys   *authenticator.Authenticator
 	Logger logrus.FieldLogger
-	Tracer trace.Tracer
+	// Metrics counts the answers; nil counts nothing.
+	Metrics tally.Scope
+	Tracer  trace.Tracer
 }
 
 // Server serves callers.
 type Server struct{ c Config }
 
 // NewServer returns a Server.
-func NewServer(c Config) *Server { return &Server{c: c} }
+func NewServer(c Config) *Server {
+	if c.Metrics == nil {
+		c.Metrics = tally.NoopScope
+	}
+	return &Server{c: c}
+}
+
+// count counts an answer by its outcome and reason. Both come from closed sets,
+// so the number of series is bounded.
+func (s *Server) count(o dispatcher.Outcome) {
+	tags := map[string]string{"outcome": "Done", "reason": ""}
+	switch o := o.(type) {
+	case dispatcher.NotRun:
+		tags = map[string]string{"outcome": "NotRun", "reason": string(o.Reason)}
+	case dispatcher.Unknown:
+		tags = map[string]string{"outcome": "Unknown", "reason": string(o.Reason)}
+	}
+	s.c.Metrics.Tagged(tags).Counter("answers").Inc(1)
+}
 
 // Register adds the callers' routes.
 func (s *Server) Register(m *mux.Router) {
@@ -82,7 +103,7 @@
 	defer span.End()
 	var body submission
 	if refusal, refused := readBody(w, r, &body); refused {
-		writeNotRun(w, body.ID, refusal)
+		s.refuse(w, body.ID, refusal)
 		return
 	}
 	generated := body.ID == ""
@@ -91,7 +112,7 @@
 	}
 	sub, refusal, ok := s.admit(r, body)
 	if !ok {
-		writeNotRun(w, body.ID, refusal)
+		s.refuse(w, body.ID, refusal)
 		return
 	}
 	sub.Generated = generated
@@ -103,9 +124,15 @@
 		WriteJSON(w, http.StatusAccepted, struct{ ID, Outcome string }{id, "Accepted"})
 		return
 	}
+	s.count(outcome)
 	writeOutcome(w, id, outcome)
 }
 
+func (s *Server) refuse(w http.ResponseWriter, id string, why dispatcher.Refusal) {
+	s.count(dispatcher.NotRun{Refusal: why})
+	writeNotRun(w, id, why)
+}
+
 // incoming returns the request's context with the caller's trace, if it sent
 // one.
 func incoming(r *http.Request) context.Context {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -29,6 +29,10 @@
 	FieldError    = "Error"
 )
 
+// The error of a line has a Pascal-case name as all other fields. Logrus has
+// one name for the whole process.
+func init() { logrus.ErrorKey = FieldError }
+
 // New returns a log that writes to w.
 func New(settings loader.Log, w io.Writer) *logrus.Logger {
 	l := logrus.New()
--- /dev/null
+++ b/runner/gauge.go
@@ -0,0 +1,85 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/elector"
+	"github.com/chervilvane/chervilvane/registrar"
+	"github.com/chervilvane/chervilvane/scheduler"
+)
+
+// gaugeEvery is the time between two readings of the gauges.
+const gaugeEvery = 1 * clock.Second
+
+// gauges shows the state that operators watch and alert on.
+type gauges struct {
+	state   *registrar.Registrar
+	log     *log
+	elector *elector.Elector
+	sched   *scheduler.Scheduler
+	clk     clock.Clock
+
+	logAge, leads, version           tally.Gauge
+	holds, epoch, upstreams, waiting tally.Gauge
+}
+
+func newGauges(state *registrar.Registrar, l *log, e *elector.Elector, s *scheduler.Scheduler, clk clock.Clock, m tally.Scope) *gauges {
+	return &gauges{
+		state: state, log: l, elector: e, sched: s, clk: clk,
+		logAge:    m.Gauge("log_age_millis"),
+		leads:     m.Gauge("log_leads"),
+		version:   m.Gauge("config_version"),
+		holds:     m.Gauge("zone_held"),
+		epoch:     m.Gauge("zone_epoch"),
+		upstreams: m.Gauge("zone_upstreams"),
+		waiting:   m.Gauge("zone_waiting"),
+	}
+}
+
+// run reads the gauges until the context ends.
+func (g *gauges) run(ctx context.Context) error {
+	ticker := time.NewTicker(gaugeEvery.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.read()
+		}
+	}
+}
+
+func (g *gauges) read() {
+	now := g.clk.Now()
+	g.logAge.Update(float64(now - g.log.freshAt()))
+	_, leads := g.log.lead()
+	g.leads.Update(oneIf(leads))
+	_, version := g.state.Config()
+	g.version.Update(float64(version))
+	epoch, holds := g.elector.MayStart(now)
+	g.holds.Update(oneIf(holds))
+	if !holds {
+		// Another instance shows the zone; a stale number here would be added
+		// to its own.
+		g.epoch.Update(0)
+		g.upstreams.Update(0)
+		g.waiting.Update(0)
+		return
+	}
+	status := g.sched.Status()
+	g.epoch.Update(float64(epoch))
+	g.upstreams.Update(float64(len(status.Upstreams)))
+	g.waiting.Update(float64(status.Waiting))
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/runner/part.go
+++ b/runner/part.go
@@ -37,7 +37,7 @@
 // parts are all that run, in the order of their start.
 type parts []part
 
-func newParts(mesh *instance.Mesh, l *log, e *elector.Elector, s *scheduler.Scheduler, w *withdrawer.Withdrawer, sum *summarizer.Summarizer) parts {
+func newParts(mesh *instance.Mesh, l *log, e *elector.Elector, s *scheduler.Scheduler, w *withdrawer.Withdrawer, sum *summarizer.Summarizer, g *gauges) parts {
 	all := parts{{"mesh", mesh.Run}}
 	all = append(all, l.parts...)
 	return append(all,
@@ -45,6 +45,7 @@
 		part{"scheduler", s.Run},
 		part{"withdrawer", w.Run},
 		part{"summarizer", sum.Run},
+		part{"gauges", g.run},
 	)
 }
 
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -76,8 +76,10 @@
 	})
 }
 
-func newCallerServer(r *router.Router, state *registrar.Registrar, keys *authenticator.Authenticator, l logrus.FieldLogger, t trace.Tracer) *caller.Server {
-	return caller.NewServer(caller.Config{Router: r, State: state, Keys: keys, Logger: l, Tracer: t})
+func newCallerServer(r *router.Router, state *registrar.Registrar, keys *authenticator.Authenticator, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *caller.Server {
+	return caller.NewServer(caller.Config{
+		Router: r, State: state, Keys: keys, Logger: l, Metrics: m.SubScope("caller"), Tracer: t,
+	})
 }
 
 func newOperatorServer(s loader.Settings, state *registrar.Registrar, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, v *versions, sched *scheduler.Scheduler, e *elector.Elector, clk clock.Clock, l logrus.FieldLogger, t trace.Tracer) *operator.Server {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,7 +46,7 @@
 			newMesh, newState, newLog,
 			newAuthenticator, newWithdrawer,
 			newElector, newUpstreams, newScheduler, newSummarizer, newRouter,
-			newHealth, newVersions, newCallerServer, newOperatorServer, newHTTPServer,
+			newHealth, newVersions, newGauges, newCallerServer, newOperatorServer, newHTTPServer,
 			newParts,
 		),
 		fx.Invoke(registerMethods, run),
