--- a/replicator/form.go
+++ b/replicator/form.go
@@ -64,8 +64,7 @@
 		}
 	case Join:
 		if c.isFormed() {
-			c.noteJoin(m.From)
-			c.message(m.From, Form{Base: c.hard.Base})
+			c.onJoin(m, b)
 		}
 	case Form:
 		c.onForm(m, b)
@@ -75,10 +74,22 @@
 	return true
 }
 
+// onJoin tells the sender which group there is and brings its wish to the
+// leader.
+func (c *Core) onJoin(m Message, j Join) {
+	c.message(m.From, Form{Base: c.hard.Base})
+	c.noteJoin(m.From)
+	stranger := !c.log.membership().membership.has(m.From)
+	if stranger && !j.Relayed && c.role != roleLeader && c.leader != (Member{}) {
+		relay := c.addressed(c.leader, Join{Relayed: true})
+		relay.From = m.From
+		c.late = append(c.late, relay)
+	}
+}
+
 func (c *Core) onAsk(m Message) {
 	if c.isFormed() {
-		c.noteJoin(m.From)
-		c.message(m.From, Form{Base: c.hard.Base})
+		c.onJoin(m, Join{})
 		return
 	}
 	c.form.asked = m.From
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -105,8 +105,10 @@
 // Ready answers an Ask: the sender belongs to no group.
 type Ready struct{}
 
-// Join asks to be taken into the group.
-type Join struct{}
+// Join asks to be taken into the group. A member that doesn't lead relays it
+// once to the leader, since an instance that was away for long may know none
+// of those that may lead now.
+type Join struct{ Relayed bool }
 
 // Form tells a member or a joining instance which group there is.
 type Form struct{ Base Membership }
