parser: read accepted texts also across versions of the program

Cause: the registered state reads an accepted text again when it applies or restores it. With mixed versions a check that only one of them has would let the copies part, or keep an upgraded instance from starting. Ruled out: fixing the set of checks for good, since every later check would then need a new kind of text. Change: Accepted refuses nothing and leaves out what nobody could use; for a text without findings it equals Parse (FuzzParse holds it). Conclusion: ready for the registrar, which still uses Parse.

--- a/parser/fuzz_test.go
+++ b/parser/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"reflect"
 	"testing"
+
+	"github.com/chervilvane/chervilvane/unit"
 )
 
 // FuzzParse holds that no text makes the parser panic, that findings have a
@@ -23,10 +25,31 @@
 		if len(findings) == 0 && len(config.AvailabilityZones) == 0 {
 			t.Fatal("a text without availability zones was accepted")
 		}
-		for _, q := range config.Queues {
-			if _, ok := config.FindQueue(q.Name); !ok || q.MaxWaiting < 1 || q.Need.IsZero() {
-				t.Fatalf("a queue that can't work was accepted: %v", q)
-			}
+		accepted := Accepted(text)
+		if len(findings) == 0 && !reflect.DeepEqual(accepted, config) {
+			t.Fatal("an accepted text is read in another way than it was checked")
 		}
+		checkUsable(t, accepted)
 	})
 }
+
+// checkUsable holds what the deciding packages rely on.
+func checkUsable(t *testing.T, c Config) {
+	teams := map[unit.Team]bool{}
+	for _, team := range c.Teams {
+		teams[team.Name] = true
+		if team.Share < 1 {
+			t.Fatalf("a team without a share: %v", team)
+		}
+	}
+	for _, q := range c.Queues {
+		if !teams[q.Team] || q.MaxWaiting < 1 || q.Need.IsZero() || q.Class == nil || q.Access == nil {
+			t.Fatalf("a queue that can't work: %v", q)
+		}
+	}
+	for _, j := range c.Jobs {
+		if !teams[j.Team] || j.Tasks < 1 || j.Need.IsZero() {
+			t.Fatalf("a job that can't work: %v", j)
+		}
+	}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -22,6 +22,16 @@
 // Parse checks an operator's text. file is used in findings only. The Config
 // is valid only if there are no findings.
 func Parse(file string, text []byte) (Config, []decoder.Finding) {
+	r, found := read(file, text)
+	r.checkDemands()
+	r.checkOrder()
+	if list := found.List(); len(list) > 0 {
+		return Config{}, list
+	}
+	return r.config, nil
+}
+
+func read(file string, text []byte) (*reader, *decoder.Findings) {
 	root, found := decoder.Read(file, text)
 	r := &reader{zones: names{}, teams: names{}, queues: names{}, works: names{}}
 	root.Object(decoder.Fields{
@@ -33,12 +43,7 @@
 		"Jobs":              r.readJobs,
 		"Weights":           r.readWeights,
 	}, "AvailabilityZones")
-	r.checkDemands()
-	r.checkOrder()
-	if list := found.List(); len(list) > 0 {
-		return Config{}, list
-	}
-	return r.config, nil
+	return r, found
 }
 
 // reader walks a text. It fills the configuration and notes what can be judged
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -21,3 +21,19 @@
 	is.Equal(q.Class, Interactive{})
 	is.Equal(q.Need.Slots, unit.Count(1))
 }
+
+func TestAcceptedTakesATextOfAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	text := []byte(base + `  - {Name: new, Share: 0, Color: red}
+Queues: [{Name: q, Team: prelo, Class: Someday}, {Name: r, Team: nobody}, {Name: s, Team: prelo, MaxWaiting: 0}]
+Wishes: []
+`)
+	_, findings := Parse("t", text)
+	is.Equal(len(findings), 6)
+	c := Accepted(text)
+	is.Equal(len(c.Teams), 3)
+	is.Equal(c.Teams[2].Share, 1)
+	is.Equal(len(c.Queues), 1) // queues without a team or a bound are left out
+	is.Equal(c.Queues[0].Class, Interactive{})
+	is.Equal(Accepted([]byte("\t: [")), Config{})
+}
