--- a/registrar/query.go
+++ b/registrar/query.go
@@ -82,6 +82,14 @@
 	return r.st.Fleet.Excess(az)
 }
 
+// Wanted returns what other zones asked for in vain of each team's limit; a
+// zone with spare parts of its allotment gives them back.
+func (r *Registrar) Wanted(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Wanted(az)
+}
+
 // Record returns what the log holds of a request.
 func (r *Registrar) Record(id unit.Request) (Record, bool) {
 	r.mu.RLock()
@@ -96,10 +104,8 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var open []Record
-	for _, rec := range r.st.Records {
-		if rec.Open() && rec.AvailabilityZone == az {
-			open = append(open, rec)
-		}
+	for id := range r.open[az] {
+		open = append(open, r.st.Records[id])
 	}
 	sort.Slice(open, func(i, j int) bool { return open[i].Request.ID < open[j].Request.ID })
 	return open
