queuer: give back the same part until its fate is known; SetWeights

Cause: AdjustAllotments returned the part once; a caller that asked again before it proposed the release lost it, and the part stayed out of use. A new scheduler that adjusts before it calls Carry would have given back excess that its predecessor's tasks use. Change: the part is returned until Released; nothing before the first Decide. Proof: TestGivesBack.

--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -151,6 +151,11 @@
 // Zone returns the zone's spending, for returning spare allotments.
 func (q *Queuer) Zone() *limiter.Zone { return q.zone }
 
+// SetWeights sets what the operator prefers where the measures compete.
+func (q *Queuer) SetWeights(w Weights) {
+	q.config.Weights = w
+}
+
 // Worker announces an upstream or changes it. It may hold less than before.
 func (q *Queuer) Worker(now clock.Millis, w placer.Worker) {
 	if !q.started {
--- a/queuer/team.go
+++ b/queuer/team.go
@@ -69,8 +69,9 @@
 }
 
 // AdjustAllotments sets the allotments as the log has them, and what of them
-// must be given back. It returns the part to release in the log now; Released
-// is called once the fate of such a release is sure.
+// must be given back. It returns the parts to release in the log, the same ones
+// until Released is called. Before the first Decide nothing is given back: a
+// new scheduler may not have called Carry yet.
 func (q *Queuer) AdjustAllotments(allotments, excess map[unit.Team]unit.Resources) map[unit.Team]unit.Resources {
 	release := map[unit.Team]unit.Resources{}
 	before := q.zone.Teams()
@@ -78,7 +79,10 @@
 	maps.Copy(names, allotments)
 	for name := range names {
 		q.zone.Adjust(name, allotments[name], excess[name])
-		if part := q.zone.Return(name, unit.Resources{}); !part.IsZero() {
+		if q.now > 0 {
+			q.zone.Return(name, unit.Resources{})
+		}
+		if part := q.zone.Returning(name); !part.IsZero() {
 			release[name] = part
 		}
 		if old, known := before[name]; !known || old != q.zone.Allotment(name) {
@@ -88,7 +92,7 @@
 	return release
 }
 
-// Released ends a release of a part of a team's allotment: the log has applied
+// Released ends the release of a part of a team's allotment: the log has applied
 // it, or surely never will. It takes the allotment and excess in the log then.
 func (q *Queuer) Released(name unit.Team, allotment, excess unit.Resources) {
 	q.zone.Returned(name, allotment, excess)
--- a/queuer/why_test.go
+++ b/queuer/why_test.go
@@ -154,3 +154,25 @@
 	is.Equal(len(w.q.lanes), 0)
 	is.Equal(len(w.q.Decide(w.now, 100)), 0)
 }
+
+// TestGivesBack shows that excess that isn't used is given back, the same part
+// until its fate is known, and nothing that a predecessor may use.
+func TestGivesBack(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	allotted := map[unit.Team]unit.Resources{"a": size(10, 0, 0, 0)}
+	excess := map[unit.Team]unit.Resources{"a": size(4, 0, 0, 0)}
+	is.Equal(len(q.AdjustAllotments(allotted, excess)), 0) // Carry may follow
+	q.Carry("a", allotted["a"])
+	q.Decide(clock.Second, 1)
+	is.Equal(len(q.AdjustAllotments(allotted, excess)), 0)
+	q.Adopt(clock.Second, placer.Task{ID: "t", Team: "a", Kind: plain, Need: size(7, 0, 0, 0)}, "u")
+	q.DropCarry("a")
+	part := map[unit.Team]unit.Resources{"a": size(3, 0, 0, 0)}
+	is.Equal(q.AdjustAllotments(allotted, excess), part)
+	q.Ended(clock.Second, "t", Succeeded{})
+	is.Equal(q.AdjustAllotments(allotted, excess), part) // one at a time
+	q.Released("a", size(7, 0, 0, 0), size(1, 0, 0, 0))
+	left := q.AdjustAllotments(map[unit.Team]unit.Resources{"a": size(7, 0, 0, 0)}, map[unit.Team]unit.Resources{"a": size(1, 0, 0, 0)})
+	is.Equal(left, map[unit.Team]unit.Resources{"a": size(1, 0, 0, 0)})
+}
