parser: keep the keys of work over upgrades of the program

Cause: the key hashed all fields, so a field that a later version adds would change every key and run all work anew. Found by reading, with the question what an upgrade does. Change: fields that aren't set are left out of the digest.

--- a/parser/key.go
+++ b/parser/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,7 +17,40 @@
 type Key string
 
 func keyOf(name unit.Work, definition any) Key {
-	return Key(fmt.Sprintf("%s@%016x", name, xxhash.Sum64(encoder.Marshal(definition))))
+	var fields any
+	if err := encoder.Unmarshal(encoder.Marshal(definition), &fields); err != nil {
+		panic(err)
+	}
+	return Key(fmt.Sprintf("%s@%016x", name, xxhash.Sum64(encoder.Marshal(withoutZeros(fields)))))
+}
+
+// withoutZeros drops the fields that aren't set. A field that a later version
+// of the program adds then leaves the keys of older texts as they are;
+// otherwise an upgrade would run all work anew.
+func withoutZeros(v any) any {
+	fields, is := v.(map[any]any)
+	if !is {
+		return v
+	}
+	for name, value := range fields {
+		value = withoutZeros(value)
+		fields[name] = value
+		if isZero(value) {
+			delete(fields, name)
+		}
+	}
+	return fields
+}
+
+func isZero(v any) bool {
+	if v == nil {
+		return true
+	}
+	r := reflect.ValueOf(v)
+	if r.Kind() == reflect.Map || r.Kind() == reflect.Slice {
+		return r.Len() == 0
+	}
+	return r.IsZero()
 }
 
 // requestPrefix starts the ids of requests that are pieces of the text's work.
--- a/parser/key_test.go
+++ b/parser/key_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -33,6 +34,28 @@
 	is.Equal(Service{Name: "web", Count: 1}.Key(), Service{Name: "web", Count: 9}.Key())
 }
 
+// TestKeysOutliveNewFields holds that a field which a later version of the
+// program adds, and an older text doesn't set, leaves the key as it is.
+func TestKeysOutliveNewFields(t *testing.T) {
+	is := is.New(t)
+	type newerNeed struct {
+		unit.Resources
+		Licences unit.Count
+	}
+	type newerJob struct {
+		Name  unit.Work
+		Tasks int
+		Need  newerNeed
+		Grace clock.Millis
+		Zones []string
+	}
+	older := Job{Name: "proof", Tasks: 2, Need: unit.Resources{CPU: 1000}}
+	newer := newerJob{Name: "proof", Tasks: 2, Need: newerNeed{Resources: older.Need}}
+	is.Equal(keyOf("proof", newer), older.Key())
+	newer.Grace = 1
+	is.True(keyOf("proof", newer) != older.Key())
+}
+
 func TestWorkMovesOnlyFromTheLostZone(t *testing.T) {
 	is := is.New(t)
 	before := Config{AvailabilityZones: []AvailabilityZone{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
