--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -125,6 +125,11 @@
 			return r.fail("writing a snapshot", err)
 		}
 	}
+	// A new segment begins with the state before this write, so that no part
+	// of the write is durable without the rest.
+	if err := r.rotate(); err != nil {
+		return r.fail("starting a segment", err)
+	}
 	if w.Hard != nil {
 		r.hard = *w.Hard
 	}
--- a/recorder/segment.go
+++ b/recorder/segment.go
@@ -103,13 +103,17 @@
 	return old.Close()
 }
 
+// rotate starts the next segment if the active one is full.
+func (r *Recorder) rotate() error {
+	s := r.segments[len(r.segments)-1]
+	if s.size < r.options.SegmentBytes {
+		return nil
+	}
+	return r.startSegment(s.number + 1)
+}
+
 // append writes one frame and syncs it.
 func (r *Recorder) append(b batch) error {
-	if s := r.segments[len(r.segments)-1]; s.size >= r.options.SegmentBytes {
-		if err := r.startSegment(s.number + 1); err != nil {
-			return err
-		}
-	}
 	s := &r.segments[len(r.segments)-1]
 	payload := encodeBatch(b)
 	if len(payload) > maxPayload {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -148,6 +148,11 @@
 	c.saved = c.log.last()
 	c.commit = max(snap.Index, min(s.Commit, c.saved))
 	c.applied = snap.Index
+	if t := c.log.lastTerm(); t > c.hard.Term {
+		// A crash left a received snapshot without its hard state. This voter
+		// gave no vote in that term, or the term would be stored.
+		c.setTerm(t, Member{})
+	}
 }
 
 // Tick tells the core the time; the driver calls it several times in each
--- a/replicator/entry.go
+++ b/replicator/entry.go
@@ -59,8 +59,9 @@
 	Entries []Entry
 }
 
-// Write is one atomic change of a Storage. Its parts take effect in the order
-// of the fields; nil or empty parts change nothing.
+// Write is one change of a Storage; nil or empty parts change nothing. A crash
+// during Save may leave all of it, none of it, or the Snapshot alone: then the
+// stored entries that don't reach or don't match it count as dropped.
 type Write struct {
 	// Snapshot was received from the leader and replaces the older one.
 	Snapshot *Snapshot
