operator: tell further instances of a withdrawal until one has logged it

Cause: during a partition one instance's Pending stops a key only on its side. Change: the client goes on to its other addresses until the withdrawal is in the log or each address has taken it. Conclusion: a table of six cases passes.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// Addresses returns the number of addresses.
+func (f *Fetcher) Addresses() int { return len(f.bases) }
+
 // Close closes idle connections.
 func (f *Fetcher) Close() { f.http.CloseIdleConnections() }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -83,10 +83,31 @@
 }
 
 // WithdrawKey ends a key for good. It reports whether the withdrawal is in the
-// log; if not, an instance has taken it and is spreading it.
+// log. Until one instance says so, the others are told too: on each side of a
+// network partition the key then stops at once.
 func (c *Client) WithdrawKey(ctx context.Context, id authenticator.KeyID) (logged bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	taken := map[string]bool{}
+	a, err := c.f.Fetch(ctx, fetcher.Call{
+		Build: func() fetcher.Request {
+			return fetcher.Request{Method: http.MethodDelete, Path: "/v1/keys/" + url.PathEscape(string(id))}
+		},
+		Judge: func(a fetcher.Answer) fetcher.Verdict {
+			if a.Status == http.StatusAccepted {
+				taken[a.Address] = true
+				if len(taken) < c.f.Addresses() {
+					return fetcher.Declined
+				}
+			}
+			return judge(a)
+		},
+	})
 	var state struct{ State string }
-	err = c.call(ctx, fetcher.Request{Method: http.MethodDelete, Path: "/v1/keys/" + url.PathEscape(string(id))}, &state)
+	err = toResult(a, err, true, &state)
+	if len(taken) > 0 && err != nil {
+		return false, nil
+	}
 	return state.State == "Withdrawn", err
 }
 
@@ -116,8 +137,12 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 	a, err := c.f.Fetch(ctx, fetcher.Call{Build: func() fetcher.Request { return r }, Judge: judge})
+	return toResult(a, err, r.Method != http.MethodGet, into)
+}
+
+// toResult reads the answer that a fetch ended with, or turns it into an error.
+func toResult(a fetcher.Answer, err error, changes bool, into any) error {
 	var unreachable *fetcher.UnreachableError
-	changes := r.Method != http.MethodGet
 	switch {
 	case changes && errors.As(err, &unreachable) && unreachable.Delivered():
 		return &DoubtError{Detail: unreachable.Error()}
--- a/operator/client_test.go
+++ b/operator/client_test.go
@@ -46,9 +46,19 @@
 
 func newClient(t *testing.T, h http.Handler, key string) *operator.Client {
 	t.Helper()
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	f, err := fetcher.New(fetcher.Config{Addresses: []string{s.URL}, Key: key, Rounds: 3, Backoff: 1})
+	return newClientOf(t, 1, h, key)
+}
+
+// newClientOf returns a client of several addresses with one handler.
+func newClientOf(t *testing.T, addresses int, h http.Handler, key string) *operator.Client {
+	t.Helper()
+	c := fetcher.Config{Key: key, Rounds: 3, Backoff: 1}
+	for range addresses {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		c.Addresses = append(c.Addresses, s.URL)
+	}
+	f, err := fetcher.New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,3 +124,32 @@
 	_, err = client.Status(context.Background())
 	is.NoErr(err)
 }
+
+func TestWithdrawTellsFurtherInstances(t *testing.T) {
+	pending, logged, notNow := step{202, `{"State":"Pending"}`}, step{200, `{"State":"Withdrawn"}`}, step{503, `{"Reason":"x"}`}
+	cases := map[string]struct {
+		steps    []step
+		attempts int
+		logged   bool
+		failed   bool
+	}{
+		"in the log":             {[]step{logged}, 1, true, false},
+		"taken, then in the log": {[]step{pending, logged}, 2, true, false},
+		"taken by each":          {[]step{pending}, 2, false, false},
+		"taken, then refused":    {[]step{pending, notNow}, 6, false, false},
+		"taken, then lost":       {[]step{pending, {}}, 6, false, false},
+		"refused":                {[]step{notNow}, 6, false, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &script{steps: c.steps}
+			logged, err := newClientOf(t, 2, s, "").WithdrawKey(context.Background(), "0011223344556677")
+			is.Equal(logged, c.logged)
+			is.Equal(err != nil, c.failed)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			is.Equal(len(s.ids), c.attempts)
+		})
+	}
+}
