--- a/queuer/config.go
+++ b/queuer/config.go
@@ -26,7 +26,8 @@
 const DefaultMaxWaiting = 200_000
 
 // Weights orders the measures where they compete. They are relative; all zero
-// means the same weight for each.
+// means the same weight for each. Waiting against Packing sets how soon room is
+// kept empty for a large task; without Share no work is stopped for shares.
 type Weights struct {
 	Waiting int
 	Packing int
@@ -54,8 +55,10 @@
 	// searchTime is the time between two searches for work that needs a
 	// reservation or preemption to get its part.
 	searchTime = 250 * clock.Millisecond
-	// upstreamsPerMove bounds the tasks that one search stops for shares.
+	// upstreamsPerMove and maxMoves bound the tasks that are stopped for
+	// shares in a searchTime.
 	upstreamsPerMove = 50
+	maxMoves         = 8
 	// gangRetry is the time between two tries to place a whole gang.
 	gangRetry = 250 * clock.Millisecond
 	// late is how long a reservation waits for tasks that run longer than
@@ -83,6 +86,21 @@
 	return starveTime * clock.Millis(1+w.Packing) / clock.Millis(1+w.Waiting)
 }
 
+// shortFirst is how many run times later a task has its turn in its account,
+// against the order of arrival.
+func (c Config) shortFirst() clock.Millis {
+	w := c.Weights
+	if w == (Weights{}) {
+		return 1
+	}
+	return clock.Millis(2 * w.Waiting / max(1, w.Packing+w.Share))
+}
+
+// movesForShares reports whether work is stopped for shares.
+func (c Config) movesForShares() bool {
+	return c.Weights.Share > 0 || c.Weights == Weights{}
+}
+
 // Policy is how the order of starts and their places are chosen. The set is
 // closed: Fair, Arrival.
 type Policy interface{ policy() }
