--- /dev/null
+++ b/fetcher/example_test.go
@@ -0,0 +1,34 @@
+package fetcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/chervilvane/chervilvane/fetcher"
+)
+
+// The first instance takes the request and loses its answer; the second one
+// answers. The answer says that an earlier attempt may have had an effect.
+func ExampleFetcher_Fetch() {
+	first := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer first.Close()
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "hello")
+	}))
+	defer second.Close()
+	f, err := fetcher.New(fetcher.Config{Addresses: []string{first.URL, second.URL}})
+	if err != nil {
+		panic(err)
+	}
+	defer f.Close()
+	answer, err := f.Fetch(context.Background(), fetcher.Call{
+		Build: func() fetcher.Request { return fetcher.Request{Method: http.MethodPost, Path: "/"} },
+		Judge: func(fetcher.Answer) fetcher.Verdict { return fetcher.Final },
+	})
+	fmt.Println(string(answer.Body), answer.Doubtful, err)
+	// Output: hello true <nil>
+}
