--- a/queuer/learn.go
+++ b/queuer/learn.go
@@ -96,12 +96,14 @@
 	return t.RunTime
 }
 
+// endsAt is the expected end. Services have none, but for short interactive
+// work that is placed like one.
 func (q *Queuer) endsAt(now clock.Millis, t placer.Task) clock.Millis {
-	if _, is := t.Kind.(placer.Service); is {
-		return placer.Never
-	}
 	if run := q.runTime(t); run > 0 {
 		return now + run
 	}
+	if _, is := t.Kind.(placer.Service); is {
+		return placer.Never
+	}
 	return now + assumedRunTime
 }
