clock, retrier: one sleep, one interval and one backoff for all

The router and the proposer each had the same backoff with full jitter, and five packages the same timer; they now share clock.Sleep, clock.Every and retrier.Backoff.

--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -10,10 +10,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -22,17 +20,15 @@
 	"github.com/chervilvane/chervilvane/instance"
 	"github.com/chervilvane/chervilvane/registrar"
 	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/retrier"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
 // Method is the mesh method that proposes a command at a voter.
 const Method instance.Method = "log.propose"
 
-// Bounds of the backoff between attempts.
-const (
-	firstBackoff = 10 * clock.Millisecond
-	lastBackoff  = 500 * clock.Millisecond
-)
+// backoff spaces the attempts of one command.
+var backoff = retrier.Backoff{First: 10 * clock.Millisecond, Last: 500 * clock.Millisecond}
 
 // attemptTimeout bounds one attempt at one voter, so that a voter that hangs
 // doesn't use up the caller's whole deadline.
@@ -95,7 +91,7 @@
 				return nil, err
 			}
 		}
-		if wait(ctx, attempt) != nil {
+		if backoff.Wait(ctx, attempt) != nil {
 			return nil, lastError(uncertain, err)
 		}
 	}
@@ -247,16 +243,3 @@
 func (p *Proposer) Next() unit.Instance {
 	return p.target(int(p.turn.Add(1)))
 }
-
-// wait sleeps between attempts: exponential backoff with full jitter.
-func wait(ctx context.Context, attempt int) error {
-	limit := min(firstBackoff<<min(attempt, 10), lastBackoff)
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(limit.Duration()))))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,43 @@
+package retrier_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/retrier"
+)
+
+func TestLimit(t *testing.T) {
+	b := retrier.Backoff{First: 20, Last: 1000}
+	for name, c := range map[string]struct {
+		attempt int
+		want    clock.Millis
+	}{
+		"first":     {attempt: 0, want: 20},
+		"doubles":   {attempt: 3, want: 160},
+		"is capped": {attempt: 6, want: 1000},
+		"far on":    {attempt: 1 << 40, want: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(b.Limit(c.attempt), c.want)
+		})
+	}
+}
+
+func TestWaitEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := retrier.Backoff{First: clock.Second, Last: clock.Minute}
+		begun := time.Now()
+		is.NoErr(b.Wait(context.Background(), 0))
+		is.True(time.Since(begun) <= time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		is.Equal(b.Wait(ctx, 30), context.Canceled)
+	})
+}
--- a/router/mesh.go
+++ b/router/mesh.go
@@ -165,7 +165,7 @@
 		if err == nil && !reply.NotHolder {
 			return unmarshalStanding(reply.State)
 		}
-		if !r.budget.retry(false) || backoff(ctx, attempt) != nil {
+		if !r.budget.retry(false) || backoff.Wait(ctx, attempt) != nil {
 			return nil, errors.CombineErrors(ErrNoScheduler, err)
 		}
 	}
--- a/router/retry.go
+++ b/router/retry.go
@@ -1,19 +1,14 @@
 package router
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync/atomic"
-	"time"
 
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/retrier"
 )
 
-// Bounds of the backoff between sends.
-const (
-	firstBackoff = 20 * clock.Millisecond
-	lastBackoff  = 1 * clock.Second
-)
+// backoff spaces the sends of one request.
+var backoff = retrier.Backoff{First: 20 * clock.Millisecond, Last: 1 * clock.Second}
 
 // The budget holds credits. A send earns one, a retry costs retryCost, so that
 // in the long run at most one send in ten is a retry. The cap is what a burst
@@ -48,19 +43,6 @@
 	return true
 }
 
-// backoff waits before a retry: exponential with full jitter.
-func backoff(ctx context.Context, attempt int) error {
-	limit := min(firstBackoff<<min(attempt, 10), lastBackoff)
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(limit.Duration()))))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Bounds of the requests in progress at one entry instance. The last ones are
 // kept for urgent work, so that it is never shed for other work.
 const (
--- a/router/router.go
+++ b/router/router.go
@@ -167,7 +167,7 @@
 		if movable && !uncertain && attempt >= attemptsBeforeMove {
 			return unanswered(home, uncertain, err), false
 		}
-		if !r.budget.retry(s.Urgent) || backoff(ctx, attempt) != nil {
+		if !r.budget.retry(s.Urgent) || backoff.Wait(ctx, attempt) != nil {
 			return unanswered(home, uncertain, err), false
 		}
 		r.c.Metrics.Counter("retries").Inc(1)
--- a/runner/gauge.go
+++ b/runner/gauge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -42,16 +41,8 @@
 
 // run reads the gauges until the context ends.
 func (g *gauges) run(ctx context.Context) error {
-	ticker := time.NewTicker(gaugeEvery.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.read()
-		}
-	}
+	clock.Every(ctx, gaugeEvery, g.read)
+	return nil
 }
 
 func (g *gauges) read() {
--- a/runner/part.go
+++ b/runner/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -107,7 +106,8 @@
 	ctx, cancel := context.WithTimeout(stop, d.Settings.Timing.Drain.Duration())
 	defer cancel()
 	d.Health.SetReady(false)
-	pause(ctx, readyGrace)
+	// An end of the wait by the deadline changes nothing: the steps go on.
+	_ = clock.Sleep(ctx, readyGrace)
 	var g errgroup.Group
 	g.Go(func() error {
 		d.Scheduler.Drain(ctx)
@@ -121,12 +121,3 @@
 		d.Logger.WithError(err).Warn("the log's leadership was not handed over")
 	}
 }
-
-func pause(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/summarizer/summarizer.go
+++ b/summarizer/summarizer.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/encoder"
@@ -53,16 +52,8 @@
 
 // Run sends summaries until the context ends.
 func (s *Summarizer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.Tell()
-		}
-	}
+	clock.Every(ctx, interval, s.Tell)
+	return nil
 }
 
 // Tell sends one summary to the scheduler of each other zone.
--- a/worker/announce.go
+++ b/worker/announce.go
@@ -42,20 +42,11 @@
 		case <-tick.C:
 		case <-w.kick:
 			// Ends that come together go out in one report.
-			pause(ctx, reportGap)
+			_ = clock.Sleep(ctx, reportGap)
 		}
 	}
 }
 
-func pause(ctx context.Context, span clock.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // report sends one report and carries out the reply.
 func (w *Worker) report(ctx context.Context, entry string) error {
 	w.mu.Lock()
