commander: hold the commands of the pages, wait for reachable instances

Cause: a page named a command that had been renamed; apply -wait timed out whenever one instance of the fleet was down. Change: a test parses every command line of the pages; apply -wait returns when every reachable instance runs the version and names the others.

--- a/commander/apply.go
+++ b/commander/apply.go
@@ -38,7 +38,7 @@
 	t.register(flags)
 	flags.Int64Var(&a.base, "base", noBase, "the version that the text replaces (default the version in force)")
 	flags.StringVar(&a.id, "id", "", "id of this change, to resend one whose answer was lost")
-	flags.BoolVar(&a.wait, "wait", false, "wait until every instance runs the new version")
+	flags.BoolVar(&a.wait, "wait", false, "wait until every reachable instance runs the new version")
 	flags.DurationVar(&a.timeout, "timeout", DefaultWait.Duration(), "bound on the wait")
 	return &ffcli.Command{
 		Name:       "apply",
@@ -124,7 +124,8 @@
 // pollInterval is the wait between two looks at the running versions.
 const pollInterval = 200 * clock.Millisecond
 
-// waitForVersion returns once every instance runs a version.
+// waitForVersion returns once every reachable instance runs a version, and
+// notes the others: on an ordinary day some instance is down or cut off.
 func (c *Commander) waitForVersion(ctx context.Context, o *output, client *operator.Client, version unit.Version, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -134,38 +135,48 @@
 	}
 	ticker := time.NewTicker(interval.Duration())
 	defer ticker.Stop()
-	var behind []string
+	var s spread
 	for {
 		instances, err := client.Running(ctx)
 		if err == nil {
-			behind = listBehind(instances, version)
-			if len(behind) == 0 {
+			s = newSpread(instances, version)
+			if s.isComplete() {
+				s.noteUnreachable(o, version)
 				return nil
 			}
 		}
 		select {
 		case <-ctx.Done():
-			o.note("version %d is accepted, but not known to be in force at: %s", version, strings.Join(behind, ", "))
+			s.noteUnreachable(o, version)
+			o.note("version %d is accepted, but not in force yet at: %s", version, firstOf(strings.Join(s.behind, ", "), "unknown"))
 			return &exitError{StatusNotDone}
 		case <-ticker.C:
 		}
 	}
 }
 
-// listBehind names the instances that don't run a version. An empty list of
-// instances is no proof that all run it.
-func listBehind(instances []operator.RunningVersion, version unit.Version) []string {
-	if len(instances) == 0 {
-		return []string{"all instances"}
-	}
-	var behind []string
+// spread tells how far a version has come.
+type spread struct{ running, behind, unreachable []string }
+
+func newSpread(instances []operator.RunningVersion, version unit.Version) spread {
+	var s spread
 	for _, i := range instances {
 		switch {
 		case !i.Reachable:
-			behind = append(behind, string(i.Instance)+" (unreachable)")
+			s.unreachable = append(s.unreachable, string(i.Instance))
 		case i.Version < version:
-			behind = append(behind, fmt.Sprintf("%s (version %d)", i.Instance, i.Version))
+			s.behind = append(s.behind, fmt.Sprintf("%s (version %d)", i.Instance, i.Version))
+		default:
+			s.running = append(s.running, string(i.Instance))
 		}
 	}
-	return behind
+	return s
+}
+
+func (s spread) isComplete() bool { return len(s.running) > 0 && len(s.behind) == 0 }
+
+func (s spread) noteUnreachable(o *output, version unit.Version) {
+	if len(s.unreachable) > 0 {
+		o.note("version %d isn't known to be in force at instances that don't answer: %s", version, strings.Join(s.unreachable, ", "))
+	}
 }
--- a/commander/key.go
+++ b/commander/key.go
@@ -20,7 +20,7 @@
 		ShortUsage:  "chervilvane key <command> [flags]",
 		ShortHelp:   "Grant, withdraw and list keys, or make one for an operator",
 		FlagSet:     c.flagSet("key"),
-		Subcommands: []*ffcli.Command{c.grantCommand(), c.withdrawCommand(), c.listKeysCommand(), c.newKeyCommand()},
+		Subcommands: []*ffcli.Command{c.grantCommand(), c.withdrawCommand(), c.listKeysCommand(), c.makeKeyCommand()},
 	}
 }
 
@@ -136,13 +136,13 @@
 	})
 }
 
-func (c *Commander) newKeyCommand() *ffcli.Command {
+func (c *Commander) makeKeyCommand() *ffcli.Command {
 	o := &output{c: c}
-	flags := c.flagSet("new")
+	flags := c.flagSet("make")
 	o.register(flags)
 	return &ffcli.Command{
-		Name:       "new",
-		ShortUsage: "chervilvane key new [-o json]",
+		Name:       "make",
+		ShortUsage: "chervilvane key make [-o json]",
 		ShortHelp:  "Make a key for an operator, and its KeyHash for the settings",
 		FlagSet:    flags,
 		Exec: func(_ context.Context, args []string) error {
--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -1,8 +1,12 @@
 package commander
 
 import (
+	"context"
+	"flag"
 	"fmt"
+	"io"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -165,3 +169,37 @@
 	is.New(t).NoErr(err)
 	is.New(t).Equal(pages["settings"].parse("nine.yaml", nine), nil)
 }
+
+// commandPattern finds command lines in code of the pages.
+var commandPattern = regexp.MustCompile("(?:`|^    )(?:[A-Z_]+=\\S+ )?(?:go run \\./cmd/|bin/)?chervilvane ([^`\n]+)")
+
+// TestCommandsOfPagesExist parses the command lines of the pages, without
+// running them.
+func TestCommandsOfPagesExist(t *testing.T) {
+	files, err := filepath.Glob("../docs/*.md")
+	is.New(t).NoErr(err)
+	found := 0
+	for _, file := range append(files, "../README.md", "../docs/design/text.md") {
+		text, err := os.ReadFile(file)
+		is.New(t).NoErr(err)
+		for line := range strings.SplitSeq(string(text), "\n") {
+			for _, m := range commandPattern.FindAllStringSubmatch(line, -1) {
+				found++
+				checkCommand(t, file, strings.Fields(m[1]))
+			}
+		}
+	}
+	is.New(t).True(found > 10) // the pattern finds the command lines
+}
+
+func checkCommand(t *testing.T, file string, args []string) {
+	c := New(Config{Err: io.Discard, Certs: func(f *flag.FlagSet) func(context.Context, []string) error {
+		f.String("dir", "", "")
+		f.String("instances", "", "")
+		return func(context.Context, []string) error { return nil }
+	}})
+	err := c.root().Parse(args)
+	if err != nil {
+		t.Errorf("%s: chervilvane %s: %v", file, strings.Join(args, " "), err)
+	}
+}
