commander, decoder: print no control characters of others

Cause: names in a text, and details of refusals, went to the terminal as they came; a terminal acts on escape codes in them. Change: unusual names are quoted in findings, control characters in notes and tables are replaced; answers are printed as they are, as before. A test with 200 callers and lost answers holds that each gets its own.

--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chervilvane/chervilvane/caller"
 	"github.com/chervilvane/chervilvane/dispatcher"
@@ -165,3 +168,35 @@
 	is.True(errors.As(err, &refused))
 	is.Equal(refused.Refusal.Reason, dispatcher.ReasonKeyRefused)
 }
+
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	var attempts sync.Map
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var sent struct {
+			ID   string
+			Data []byte
+		}
+		_ = json.NewDecoder(r.Body).Decode(&sent)
+		// Every other answer to a first attempt is lost.
+		if _, again := attempts.LoadOrStore(sent.ID, true); !again && len(sent.ID)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		caller.WriteJSON(w, http.StatusOK, struct {
+			ID, Outcome string
+			Answer      []byte
+		}{sent.ID, "Done", append([]byte("answer to "), sent.Data...)})
+	}), "")
+	var g errgroup.Group
+	for i := range 200 {
+		id := strings.Repeat("x", i%7) + fmt.Sprint(i)
+		g.Go(func() error {
+			_, reply, err := client.Submit(context.Background(), caller.ClientRequest{Queue: "q", ID: id, Data: []byte(id)})
+			if err != nil || !reflect.DeepEqual(reply, caller.Ended{Outcome: dispatcher.Done{Answer: []byte("answer to " + id)}}) {
+				return errors.Newf("%s got %v, %v", id, reply, err)
+			}
+			return nil
+		})
+	}
+	is.NoErr(g.Wait())
+}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -116,7 +116,7 @@
 	case errors.As(err, &unreachable):
 		status = StatusUnreachable
 	}
-	fmt.Fprintln(c.c.Err, "chervilvane:", err)
+	fmt.Fprintln(c.c.Err, "chervilvane:", printable(err.Error()))
 	return status
 }
 
--- a/commander/output.go
+++ b/commander/output.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -53,7 +55,18 @@
 
 // note writes a line for a person.
 func (o *output) note(format string, args ...any) {
-	fmt.Fprintf(o.c.c.Err, format+"\n", args...)
+	fmt.Fprintln(o.c.c.Err, printable(fmt.Sprintf(format, args...)))
+}
+
+// printable replaces control characters, which a terminal would act on: details
+// of refusals repeat what callers and upstreams sent.
+func printable(s string) string {
+	return strings.Map(func(r rune) rune {
+		if unicode.IsPrint(r) {
+			return r
+		}
+		return unicode.ReplacementChar
+	}, s)
 }
 
 // printFindings prints the findings of a text and returns the error with their
@@ -85,8 +98,7 @@
 	return s
 }
 
-// table writes aligned columns. Cells come from the system, not from its
-// callers, so they are printed as they are.
+// table writes aligned columns.
 func table(w io.Writer, header []any, rows func(row func(cells ...any))) {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
 	row := func(cells ...any) {
@@ -94,7 +106,7 @@
 			if i > 0 {
 				fmt.Fprint(t, "\t")
 			}
-			fmt.Fprint(t, c)
+			fmt.Fprint(t, printable(fmt.Sprint(c)))
 		}
 		fmt.Fprintln(t)
 	}
--- a/commander/request_test.go
+++ b/commander/request_test.go
@@ -116,6 +116,7 @@
 		"accepted":     {answer{202, `{"ID":"$ID","Outcome":"Accepted"}`}, StatusDone, "a.7\n", "chervilvane result a.7"},
 		"refused":      {answer{404, `{"ID":"$ID","Outcome":"NotRun","Reason":"NoSuchQueue","Detail":"no q"}`}, StatusNotDone, "", "NotRun: NoSuchQueue: no q"},
 		"unknown":      {answer{502, `{"ID":"$ID","Outcome":"Unknown","Reason":"UpstreamLost"}`}, StatusNotDone, "", "Unknown: UpstreamLost"},
+		"escape code":  {answer{502, `{"ID":"$ID","Outcome":"Unknown","Detail":"\u001b[2J"}`}, StatusNotDone, "", ": \ufffd[2J"},
 		"another's id": {answer{200, `{"ID":"other","Outcome":"Done","Answer":"aGVsbG8="}`}, StatusNotDone, "", "Unknown: NoAnswer"},
 		"cut off":      {answer{200, `{"ID":"$ID","Outcome":"Done","Ans`}, StatusNotDone, "", "Unknown: NoAnswer"},
 	}
--- a/decoder/decoder_test.go
+++ b/decoder/decoder_test.go
@@ -57,6 +57,9 @@
 		"two documents":       {"Name: a\n---\nName: b", "f:2:1: .: a second document begins; one document is allowed"},
 		"empty":               {"# nothing", "f:1:1: .: the file is empty"},
 		"syntax":              {"Name: a\n\tText: b", "f:2:1: .: not valid YAML: found a tab character that violates indentation"},
+		"escape in a name":    {`"\e[2J": 1`, `f:1:1: "\x1b[2J": unknown field; allowed are Bool, CPU, Kind, List, Memory, Name, Number, Span, Text`},
+		"escape in a value":   {`Kind: "\e[2J"`, `f:1:7: Kind: the value is "\x1b[2J"; want one of Open, Keyed`},
+		"line ends of CRLF":   {"Name: a\r\nBool: no\r\n", `f:2:7: Bool: the value is "no"; want true or false`},
 		"too deep":            {strings.Repeat("[", MaxDepth+2) + strings.Repeat("]", MaxDepth+2), "f:1:18: " + strings.Repeat("[0]", MaxDepth+1) + ": nested too deep; at most 16 levels are allowed"},
 		"too large":           {strings.Repeat("#", MaxBytes+1), "f:1:1: .: the file has 1048577 bytes; at most 1048576 are allowed"},
 	}
--- a/decoder/value.go
+++ b/decoder/value.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -134,16 +135,24 @@
 }
 
 func (v Value) field(n *yaml.Node, name string) Value {
-	if len(name) > maxBrief {
-		name = name[:maxBrief] + "..."
+	path := name
+	if !isPlain(name) {
+		path = brief(name)
 	}
-	path := strings.ToValidUTF8(name, "?")
 	if v.path != "" {
 		path = v.path + "." + path
 	}
 	return Value{found: v.found, node: n, path: path}
 }
 
+// isPlain reports whether a field's name can be printed as it is. Findings are
+// printed to terminals, which act on control characters.
+func isPlain(name string) bool {
+	return len(name) <= maxBrief && name != "" && !strings.ContainsFunc(name, func(r rune) bool {
+		return !unicode.IsPrint(r) || r == unicode.ReplacementChar
+	})
+}
+
 func (v Value) item(n *yaml.Node, i int) Value {
 	return Value{found: v.found, node: n, path: v.path + "[" + strconv.Itoa(i) + "]"}
 }
