--- /dev/null
+++ b/scheduler/cell_test.go
@@ -0,0 +1,215 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// workKind is how the watched request is submitted.
+type workKind string
+
+const (
+	repeatable   workKind = "repeatable"
+	once         workKind = "once"
+	accepted     workKind = "accepted"
+	acceptedOnce workKind = "accepted once"
+)
+
+func (k workKind) isAccepted() bool   { return k == accepted || k == acceptedOnce }
+func (k workKind) isRepeatable() bool { return k == repeatable || k == accepted }
+
+// cell is one fault at one step of one kind of work.
+type cell struct {
+	kind  workKind
+	step  pathStep
+	fault fault
+	flaw  flaw
+	span  string
+}
+
+// Times of a cell, in virtual time.
+const (
+	callerTimeout   = 12 * time.Second
+	acceptedTimeout = 18 * time.Second
+	// healAfter is when what the fault broke is repaired.
+	healAfter = 6 * time.Second
+	// settleTime is left after the repair before the last checks.
+	settleTime = 7 * time.Second
+)
+
+// verdict is what came of a cell.
+type verdict struct {
+	reached bool
+	outcome dispatcher.Outcome
+	runs    int
+	gap     time.Duration
+	// probes are the outcomes of requests sent after the repair.
+	probes     []dispatcher.Outcome
+	violations []string
+}
+
+var aHolds = unit.Resources{CPU: 4000, Memory: 4 * unit.Gigabyte, Slots: 4, Connections: 4}
+
+// run plays the cell.
+func (c cell) run(t *testing.T) verdict {
+	var v verdict
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, c.flaw)
+		defer w.close()
+		for _, u := range []unit.Upstream{"ua1", "ua2"} {
+			w.addUpstream(u, "a", aHolds)
+		}
+		w.addUpstream("ub1", "b", aHolds)
+		w.awaitHolder("a")
+		w.awaitHolder("b")
+		time.Sleep(time.Second)
+		v = c.play(w)
+	})
+	return v
+}
+
+func (c cell) play(w *world) verdict {
+	var v verdict
+	var g errgroup.Group
+	w.watched = watchedID
+	hook := func() {
+		v.reached = true
+		c.fault.strike(w)
+	}
+	w.mu.Lock()
+	w.hooks[c.step] = hook
+	w.mu.Unlock()
+	stop := make(chan struct{})
+	g.Go(func() error { return w.traffic(stop) })
+	g.Go(func() error {
+		v.outcome = c.submit(w)
+		return nil
+	})
+	time.Sleep(healAfter)
+	c.fault.heal(w)
+	time.Sleep(settleTime)
+	v.probes = w.probe()
+	close(stop)
+	_ = g.Wait()
+	w.obs.settle()
+	v.runs = w.obs.ranFor(watchedID)
+	v.gap = w.obs.longestGap
+	v.violations = w.obs.found()
+	return v
+}
+
+// submit sends the watched request. In the row of queued work no upstream has
+// room at first.
+func (c cell) submit(w *world) dispatcher.Outcome {
+	r := dispatcher.Request{ID: watchedID, Queue: "holds", Team: "booking", Repeatable: c.kind.isRepeatable(), Data: []byte("300")}
+	if c.span != "" {
+		r.Data = []byte(c.span)
+	}
+	if c.step == waiting {
+		w.fill(700 * time.Millisecond)
+		w.group.Go(func() error {
+			time.Sleep(300 * time.Millisecond)
+			w.reached(waiting, watchedID)
+			return nil
+		})
+	}
+	if c.kind.isAccepted() {
+		r.Queue, r.Team = "proofs", "prelo"
+		return w.accept("a", r, acceptedTimeout)
+	}
+	r.Fresh = true
+	return w.call([]unit.Instance{"a2", "a1"}, "a", r, callerTimeout)
+}
+
+// fill takes up every place of the zone for a while.
+func (w *world) fill(span time.Duration) {
+	for i := range 8 {
+		id := unit.Request(fmt.Sprintf("account/fill-%d", i))
+		r := dispatcher.Request{ID: id, Queue: "proofs", Team: "prelo", Repeatable: true, Fresh: true, Data: fmt.Appendf(nil, "%d", span.Milliseconds())}
+		w.group.Go(func() error {
+			w.call([]unit.Instance{"a1", "a2"}, "a", r, callerTimeout)
+			return nil
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+// traffic sends short requests of all kinds to both zones until stop.
+func (w *world) traffic(stop <-chan struct{}) error {
+	var g errgroup.Group
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return g.Wait()
+		case <-time.After(350 * time.Millisecond):
+		}
+		zone := unit.AvailabilityZone([]string{"a", "a", "b"}[i%3])
+		entries := []unit.Instance{"a1", "a2"}
+		if zone == "b" {
+			entries = []unit.Instance{"b1", "b2"}
+		}
+		r := dispatcher.Request{ID: unit.Request(fmt.Sprintf("account/t%d", i)), Queue: "holds", Team: "booking", Repeatable: i%4 != 0, Fresh: i%2 == 0, Data: []byte("200")}
+		if i%5 == 0 {
+			r.Queue, r.Team = "proofs", "prelo"
+		}
+		g.Go(func() error {
+			w.call(entries, zone, r, 3*time.Second)
+			return nil
+		})
+	}
+}
+
+// request is one of many requests of a limited team.
+func (w *world) request(i int) dispatcher.Request {
+	id := unit.Request(fmt.Sprintf("account/busy%d", i))
+	return dispatcher.Request{ID: id, Queue: "holds", Team: "booking", Repeatable: true, Fresh: true, Data: []byte("900")}
+}
+
+// probe sends one request of each kind to each zone after the repair.
+func (w *world) probe() []dispatcher.Outcome {
+	out := make([]dispatcher.Outcome, 4)
+	var g errgroup.Group
+	for i := range out {
+		zone := unit.AvailabilityZone([]string{"a", "b"}[i%2])
+		entries := []unit.Instance{"a1", "a2"}
+		if zone == "b" {
+			entries = []unit.Instance{"b1", "b2"}
+		}
+		r := dispatcher.Request{ID: unit.Request(fmt.Sprintf("account/probe%d", i)), Queue: "proofs", Team: "prelo", Repeatable: i < 2, Fresh: true, Data: []byte("20")}
+		g.Go(func() error {
+			out[i] = w.call(entries, zone, r, 5*time.Second)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return out
+}
+
+// problems lists what is wrong with a verdict.
+func (c cell) problems(v verdict) []string {
+	bad := v.violations
+	for i, p := range v.probes {
+		if _, done := p.(dispatcher.Done); !done {
+			bad = append(bad, fmt.Sprintf("probe %d after the repair got %T %+v", i, p, p))
+		}
+	}
+	if c.kind.isAccepted() && v.outcome == nil {
+		bad = append(bad, "accepted work was lost")
+	}
+	if u, unknown := v.outcome.(dispatcher.Unknown); unknown && c.kind == accepted && u.Reason != dispatcher.ReasonCancelled {
+		bad = append(bad, fmt.Sprintf("accepted repeatable work ended as Unknown: %+v", v.outcome))
+	}
+	return bad
+}
+
+func (c cell) name() string {
+	return strings.ReplaceAll(fmt.Sprintf("%s/%s/%s", c.kind, c.step, c.fault.name), " ", "_")
+}
--- a/scheduler/flaw_test.go
+++ b/scheduler/flaw_test.go
@@ -18,7 +18,7 @@
 	anyHolder bool
 	// lies: a start without an answer counts as not sent.
 	lies bool
-	// grants: the log grants every intent.
+	// grants: every intent is granted and none is recorded.
 	grants bool
 	// boasts: reports claim twice what the upstream holds.
 	boasts bool
@@ -66,7 +66,12 @@
 	return r, err
 }
 
-func (f flaw) command(c registrar.Command) registrar.Command { return c }
+func (f flaw) command(c registrar.Command) registrar.Command {
+	if _, is := c.(registrar.IntendStart); is && f.grants {
+		return registrar.TakeZone{AvailabilityZone: "a", Prior: 1 << 40}
+	}
+	return c
+}
 
 func (f flaw) result(c registrar.Command, result registrar.Result) registrar.Result {
 	if _, is := c.(registrar.IntendStart); !is || !f.grants {
--- a/scheduler/matrix_test.go
+++ b/scheduler/matrix_test.go
@@ -45,3 +45,34 @@
 		is.Equal(w.obs.found(), nil)
 	})
 }
+
+// steps are the rows of each kind of work.
+var steps = map[workKind][]pathStep{
+	repeatable:   {received, waiting, startSent, started, finished, answerSent, answerReceived, returned},
+	once:         {received, waiting, intentSent, intentRecorded, startSent, started, finished, answerSent, answerReceived, endSent, endRecorded, returned},
+	accepted:     {acceptRecorded, waiting, startSent, started, finished, answerSent, answerReceived, endSent, endRecorded, returned},
+	acceptedOnce: {acceptRecorded, waiting, intentSent, intentRecorded, startSent, started, finished, answerSent, answerReceived, endSent, endRecorded, returned},
+}
+
+func TestMatrix(t *testing.T) {
+	for _, faults := range [][]fault{onSchedulers, onNetwork, onUpstreams, onCallers} {
+		for _, f := range faults {
+			f.heal = func(w *world) { w.reviveAll() }
+			for kind, rows := range steps {
+				for _, row := range rows {
+					c := cell{kind: kind, step: row, fault: f}
+					t.Run(c.name(), func(t *testing.T) {
+						t.Parallel()
+						v := c.run(t)
+						if !v.reached {
+							t.Error("the step wasn't reached")
+						}
+						for _, p := range c.problems(v) {
+							t.Error(p)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/scheduler/observer_test.go
+++ b/scheduler/observer_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/registrar"
 	"github.com/chervilvane/chervilvane/unit"
@@ -42,6 +41,9 @@
 	departed   map[unit.Upstream]time.Time
 	versions   map[unit.Instance]unit.Version
 	violations map[invariant][]string
+	// graceful says that the only fault is a graceful shutdown, so no request
+	// may be cut off.
+	graceful bool
 	// lastStart and longestGap measure the time without a start in zone a.
 	lastStart  time.Time
 	longestGap time.Duration
@@ -89,14 +91,20 @@
 	q.sentAt = time.Now()
 }
 
-// isActive reports whether a run may have an effect now. A frozen upstream's
-// runs have none once their lease has ended, since it looks at the lease first
-// when it goes on.
+// isActive reports whether a run may have an effect now. It has none once its
+// lease has ended: an upstream that was frozen looks at the lease first when
+// it goes on.
 func (r *observedRun) isActive() bool {
-	if r.ended {
-		return false
+	return !r.ended && int64(r.upstream.w.millis()) < r.run.until.Load()
+}
+
+// offered notes an order, whether or not its upstream takes it.
+func (o *observer) offered(u *fakeUpstream, order dispatcher.StartOrder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at, departs := o.departed[u.id]; departs && time.Since(at) > departureGrace {
+		o.violate(departure, "%s is offered to %s, which departs since %v", order.Request, u.id, time.Since(at))
 	}
-	return !r.upstream.frozen.Load() || int64(r.upstream.w.millis()) < r.run.until.Load()
 }
 
 // begin notes a start. The upstream's lock is held.
@@ -117,9 +125,6 @@
 	if order.Team != q.Team {
 		o.violate(keyedTeam, "%s of team %s runs for team %s", order.Request, q.Team, order.Team)
 	}
-	if at, departs := o.departed[u.id]; departs && time.Since(at) > departureGrace {
-		o.violate(departure, "%s starts on %s, which departs since %v", order.Request, u.id, time.Since(at))
-	}
 	o.checkRunning(n)
 	o.runs = append(o.runs, n)
 	if u.zone == "a" {
@@ -191,6 +196,9 @@
 	default:
 		o.violate(ownAnswer, "%s was told nothing", id)
 	}
+	if _, done := outcome.(dispatcher.Done); !done && o.graceful {
+		o.violate(gracefulShutdown, "%s was told %T %+v though the only fault was a graceful shutdown", id, outcome, outcome)
+	}
 }
 
 // settle checks what only shows at the end.
@@ -234,6 +242,14 @@
 	o.versions[n.name] = max(o.versions[n.name], version)
 }
 
+// lowers notes a lowered limit, which holds after the time that the excess needs
+// to end.
+func (o *observer) lowers(team unit.Team, limit unit.Resources) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits[team] = limit
+}
+
 // ranFor returns how often a request ran.
 func (o *observer) ranFor(id unit.Request) int {
 	o.mu.Lock()
@@ -256,5 +272,3 @@
 	}
 	return all
 }
-
-var _ = clock.Millisecond
--- a/scheduler/upstream_test.go
+++ b/scheduler/upstream_test.go
@@ -233,6 +233,7 @@
 // start carries out an order. It returns nil if the answer doesn't leave.
 func (u *fakeUpstream) start(o dispatcher.StartOrder) dispatcher.StartReply {
 	u.thaw()
+	u.w.obs.offered(u, o)
 	u.mu.Lock()
 	if u.dead {
 		u.mu.Unlock()
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,16 +26,11 @@
 const (
 	zoneLease = 1 * clock.Second
 	taskLease = 2 * clock.Second
-	step      = 10 * time.Millisecond
+	step      = 20 * time.Millisecond
 	latency   = 1 * time.Millisecond
 )
 
-const worldText = `
-AvailabilityZones: [{Name: a}, {Name: b}]
-Teams:
-  - Name: booking
-    Share: 3
-    Limit: {CPU: "4", Memory: 8GB, Slots: 8, Connections: 8}
+const worldText = worldHead + `    Limit: {CPU: "4", Memory: 8GB, Slots: 8, Connections: 8}
   - Name: prelo
     Share: 1
 Queues:
@@ -42,6 +38,16 @@
   - {Name: proofs, Team: prelo, Access: Open, Class: Deferred, Need: {CPU: 1, Memory: 1GB, Slots: 1}}
 `
 
+const worldHead = `
+AvailabilityZones: [{Name: a}, {Name: b}]
+Teams:
+  - Name: booking
+    Share: 3
+`
+
+// lowerText halves the limit.
+var lowerText = strings.Replace(worldText, `CPU: "4"`, `CPU: "2"`, 1)
+
 // world is a fleet in the virtual time of a synctest bubble: real schedulers
 // and electors on a fake log, mesh and upstreams, which break as a cell of the
 // matrix says. A frozen instance's clock stands still and nothing gets in or
@@ -60,11 +66,16 @@
 	// hooks run once, when the watched request reaches a step.
 	hooks   map[pathStep]func()
 	watched unit.Request
-	flaw    flaw
-	group   errgroup.Group
-	ctx     context.Context
-	cancel  context.CancelFunc
-	begun   time.Time
+	// reset breaks the connection of the watched request's next start once the
+	// order was received.
+	reset bool
+	// lastVictim is the scheduler of zone a that a fault hit last.
+	lastVictim unit.Instance
+	flaw       flaw
+	group      errgroup.Group
+	ctx        context.Context
+	cancel     context.CancelFunc
+	begun      time.Time
 }
 
 // node is one entry instance.
@@ -99,7 +110,12 @@
 	for _, name := range w.names {
 		w.boot(name)
 	}
-	w.log.put(registrar.PutConfig{ID: "first", Text: []byte(worldText)})
+	text := worldText
+	if fl.overAllots {
+		// Each zone's even part is the whole of the limit that holds.
+		text = strings.Replace(worldText, `CPU: "4"`, `CPU: "8"`, 1)
+	}
+	w.log.put(registrar.PutConfig{ID: "first", Text: []byte(text)})
 	w.obs.limits["booking"] = unit.Resources{CPU: 4000, Memory: 8 * unit.Gigabyte, Accelerators: unit.Unlimited, Slots: 8, Connections: 8}
 	w.group.Go(w.runClocks)
 	return w
@@ -332,6 +348,14 @@
 	}
 }
 
+func (w *world) takesReset(r unit.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	takes := w.reset && r == w.watched
+	w.reset = w.reset && !takes
+	return takes
+}
+
 // wire is the way from an instance to the upstreams.
 type wire struct{ n *node }
 
@@ -346,6 +370,14 @@
 	if u.isDead() || w.isCut(string(x.n.name), address) {
 		return w.flaw.reply(nil, &dispatcher.NotSentError{Task: o.Task, Cause: errLost})
 	}
+	if w.takesReset(o.Request) {
+		w.group.Go(func() error {
+			u.start(o)
+			return nil
+		})
+		time.Sleep(50 * latency)
+		return w.flaw.reply(nil, errLost)
+	}
 	replies := make(chan dispatcher.StartReply, 2)
 	for range u.copies(o.Request) {
 		w.group.Go(func() error {
