--- a/commander/request.go
+++ b/commander/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilvane/chervilvane/caller"
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/dispatcher"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -56,7 +57,7 @@
 
 func (c *Commander) submit(ctx context.Context, o *output, t *target, s *submitFlags) error {
 	if s.timeout <= 0 || clock.FromDuration(s.timeout) > caller.MaxTimeout {
-		return usagef("-timeout must be above 0 and at most %v", caller.MaxTimeout.Duration())
+		return Usagef("-timeout must be above 0 and at most %v", caller.MaxTimeout.Duration())
 	}
 	data, err := c.requestData(s)
 	if err != nil {
@@ -76,26 +77,30 @@
 
 func (c *Commander) requestData(s *submitFlags) ([]byte, error) {
 	if s.file == "" {
-		return []byte(s.data), nil
+		return checkData([]byte(s.data))
 	}
 	if s.data != "" {
-		return nil, usagef("give -data or -file, not both")
+		return nil, Usagef("give -data or -file, not both")
 	}
 	in := c.c.In
 	if s.file != "-" {
 		file, err := os.Open(s.file)
 		if err != nil {
-			return nil, usagef("%v", err)
+			return nil, Usagef("%v", err)
 		}
 		defer file.Close()
 		in = file
 	}
-	data, err := io.ReadAll(io.LimitReader(in, caller.MaxBody+1))
+	data, err := io.ReadAll(io.LimitReader(in, caller.MaxData+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the data")
 	}
-	if len(data) > caller.MaxBody {
-		return nil, usagef("the data is larger than a request may be (%d bytes)", caller.MaxBody)
+	return checkData(data)
+}
+
+func checkData(data []byte) ([]byte, error) {
+	if len(data) > caller.MaxData {
+		return nil, Usagef("the data is larger than a request may be (%d bytes)", caller.MaxData)
 	}
 	return data, nil
 }
@@ -110,19 +115,48 @@
 	return f(caller.NewClient(fetcher))
 }
 
+// question asks about a request and prints the reply.
+type question func(ctx context.Context, client *caller.Client, o *output, id string) error
+
 func (c *Commander) resultCommand() *ffcli.Command {
-	return c.stateCommand("result", "Print what became of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
-		return client.Result(ctx, id)
+	return c.requestCommand("result", "Print what became of a request", func(ctx context.Context, client *caller.Client, o *output, id string) error {
+		reply, err := client.Result(ctx, id)
+		if err != nil {
+			return err
+		}
+		return o.printReply(id, reply)
 	})
 }
 
 func (c *Commander) cancelCommand() *ffcli.Command {
-	return c.stateCommand("cancel", "Ask for the end of a request", func(ctx context.Context, client *caller.Client, id string) (caller.Reply, error) {
-		return client.Cancel(ctx, id)
+	return c.requestCommand("cancel", "Ask for the end of a request", func(ctx context.Context, client *caller.Client, o *output, id string) error {
+		reply, err := client.Cancel(ctx, id)
+		if err != nil {
+			return err
+		}
+		err = o.printReply(id, reply)
+		if isCancelled(reply) {
+			return nil
+		}
+		return err
 	})
 }
 
-func (c *Commander) stateCommand(name, help string, ask func(context.Context, *caller.Client, string) (caller.Reply, error)) *ffcli.Command {
+// isCancelled reports whether a cancellation was taken: a request that won't
+// run is what was asked for.
+func isCancelled(reply caller.Reply) bool {
+	switch r := reply.(type) {
+	case caller.Pending:
+		return true
+	case caller.Ended:
+		_, notRun := r.Outcome.(dispatcher.NotRun)
+		return notRun
+	default:
+		return false
+	}
+}
+
+func (c *Commander) requestCommand(name, help string, ask question) *ffcli.Command {
 	o, t := &output{c: c}, &target{c: c}
 	flags := c.flagSet(name)
 	o.register(flags)
@@ -137,13 +171,7 @@
 			if err != nil {
 				return err
 			}
-			return t.withCaller(func(client *caller.Client) error {
-				reply, err := ask(ctx, client, ids[0])
-				if err != nil {
-					return err
-				}
-				return o.printReply(ids[0], reply)
-			})
+			return t.withCaller(func(client *caller.Client) error { return ask(ctx, client, o, ids[0]) })
 		},
 	}
 }
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -22,6 +22,16 @@
 // Parse checks an operator's text. file is used in findings only. The Config
 // is valid only if there are no findings.
 func Parse(file string, text []byte) (Config, []decoder.Finding) {
+	r, found := read(file, text)
+	r.checkDemands()
+	r.checkOrder()
+	if list := found.List(); len(list) > 0 {
+		return Config{}, list
+	}
+	return r.config, nil
+}
+
+func read(file string, text []byte) (*reader, *decoder.Findings) {
 	root, found := decoder.Read(file, text)
 	r := &reader{zones: names{}, teams: names{}, queues: names{}, works: names{}}
 	root.Object(decoder.Fields{
@@ -32,13 +42,8 @@
 		"Batches":           r.readBatches,
 		"Jobs":              r.readJobs,
 		"Weights":           r.readWeights,
-	})
-	r.checkDemands()
-	r.checkOrder()
-	if list := found.List(); len(list) > 0 {
-		return Config{}, list
-	}
-	return r.config, nil
+	}, "AvailabilityZones")
+	return r, found
 }
 
 // reader walks a text. It fills the configuration and notes what can be judged
@@ -81,9 +86,9 @@
 		}, "Name")
 		r.config.AvailabilityZones = append(r.config.AvailabilityZones, z)
 	})
-	lost := func(z AvailabilityZone) bool { return !z.Lost }
-	if zones := r.config.AvailabilityZones; len(zones) > 0 && !slices.ContainsFunc(zones, lost) {
-		v.Reject("every availability zone is declared lost; at least one must be left")
+	left := func(z AvailabilityZone) bool { return !z.Lost }
+	if !slices.ContainsFunc(r.config.AvailabilityZones, left) {
+		v.Reject("no availability zone is left to run work in; at least one must be listed without Lost")
 	}
 }
 
--- a/registrar/query.go
+++ b/registrar/query.go
@@ -66,6 +66,14 @@
 	return r.st.Fleet.Allotments(az)
 }
 
+// AllotmentChange returns the change number of a zone's allotment of a team's
+// limit.
+func (r *Registrar) AllotmentChange(az unit.AvailabilityZone, team unit.Team) uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Change(az, team)
+}
+
 // Excess returns how much of each team's allotment in a zone must be given
 // back since the team's limit was lowered.
 func (r *Registrar) Excess(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
@@ -74,6 +82,14 @@
 	return r.st.Fleet.Excess(az)
 }
 
+// Wanted returns what other zones asked for in vain of each team's limit; a
+// zone with spare parts of its allotment gives them back.
+func (r *Registrar) Wanted(az unit.AvailabilityZone) map[unit.Team]unit.Resources {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.st.Fleet.Wanted(az)
+}
+
 // Record returns what the log holds of a request.
 func (r *Registrar) Record(id unit.Request) (Record, bool) {
 	r.mu.RLock()
@@ -88,10 +104,8 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var open []Record
-	for _, rec := range r.st.Records {
-		if rec.Open() && rec.AvailabilityZone == az {
-			open = append(open, rec)
-		}
+	for id := range r.open[az] {
+		open = append(open, r.st.Records[id])
 	}
 	sort.Slice(open, func(i, j int) bool { return open[i].Request.ID < open[j].Request.ID })
 	return open
--- a/runner/roles.go
+++ b/runner/roles.go
@@ -16,6 +16,7 @@
 	"github.com/chervilvane/chervilvane/registrar"
 	"github.com/chervilvane/chervilvane/router"
 	"github.com/chervilvane/chervilvane/scheduler"
+	"github.com/chervilvane/chervilvane/summarizer"
 	"github.com/chervilvane/chervilvane/unit"
 	"github.com/chervilvane/chervilvane/upstream"
 	"github.com/chervilvane/chervilvane/withdrawer"
@@ -49,7 +50,7 @@
 func newElector(s loader.Settings, state *registrar.Registrar, lg *log, p *proposer.Proposer, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger, m tally.Scope) *elector.Elector {
 	return elector.New(elector.Config{
 		Instance: s.Instance, AvailabilityZone: s.AvailabilityZone, Peers: others(s, s.AvailabilityZone),
-		Clock: clk, State: state, Call: mesh, Leader: p.Leader, Propose: p.Propose,
+		Clock: clk, State: state, Call: mesh, Leader: p.Leader, Propose: p.Propose, ProposeHere: p.ProposeHere,
 		Lease: s.Timing.ZoneLease, Lead: lg.lead, Logger: l, Metrics: m.SubScope("elector"),
 	})
 }
@@ -62,6 +63,12 @@
 	})
 }
 
+func newSummarizer(s loader.Settings, state *registrar.Registrar, sched *scheduler.Scheduler, mesh *instance.Mesh) *summarizer.Summarizer {
+	return summarizer.New(summarizer.Config{
+		AvailabilityZone: s.AvailabilityZone, State: state, Scheduler: sched, Send: mesh.Send,
+	})
+}
+
 func newRouter(s loader.Settings, state *registrar.Registrar, local *scheduler.Scheduler, e *elector.Elector, keys *authenticator.Authenticator, mesh *instance.Mesh, clk clock.Clock, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *router.Router {
 	return router.New(router.Config{
 		Self: s.Instance, AvailabilityZone: s.AvailabilityZone, State: state, Local: local, Holder: e,
@@ -69,8 +76,10 @@
 	})
 }
 
-func newCallerServer(r *router.Router, state *registrar.Registrar, keys *authenticator.Authenticator, l logrus.FieldLogger, t trace.Tracer) *caller.Server {
-	return caller.NewServer(caller.Config{Router: r, State: state, Keys: keys, Logger: l, Tracer: t})
+func newCallerServer(r *router.Router, state *registrar.Registrar, keys *authenticator.Authenticator, l logrus.FieldLogger, m tally.Scope, t trace.Tracer) *caller.Server {
+	return caller.NewServer(caller.Config{
+		Router: r, State: state, Keys: keys, Logger: l, Metrics: m.SubScope("caller"), Tracer: t,
+	})
 }
 
 func newOperatorServer(s loader.Settings, state *registrar.Registrar, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, v *versions, sched *scheduler.Scheduler, e *elector.Elector, clk clock.Clock, l logrus.FieldLogger, t trace.Tracer) *operator.Server {
@@ -86,10 +95,11 @@
 }
 
 // registerMethods ties the mesh's methods to the parts that serve them.
-func registerMethods(mesh *instance.Mesh, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, e *elector.Elector, r *router.Router, v *versions) {
+func registerMethods(mesh *instance.Mesh, lg *log, p *proposer.Proposer, w *withdrawer.Withdrawer, e *elector.Elector, r *router.Router, v *versions, sum *summarizer.Summarizer) {
 	mesh.Handle(proposer.Method, p.Handle)
 	mesh.Handle(withdrawer.Method, w.Handle)
 	mesh.Handle(methodVersion, v.handle)
+	mesh.Handle(summarizer.Method, sum.Handle)
 	lg.register(mesh)
 	for method, handler := range e.Handlers() {
 		mesh.Handle(method, handler)
