--- a/elector/run.go
+++ b/elector/run.go
@@ -49,18 +49,25 @@
 			continue
 		}
 		g.Go(func() error {
-			defer e.end(c)
-			next, err := e.act(ctx, to, a)
+			next, err := e.call(ctx, c, a)
 			if err != nil {
 				e.c.Logger.WithError(err).WithField("Method", method).Debug("a call of the election failed")
 			}
-			// What follows has a time of its own: it outlives this call.
+			// What follows from the answer has a time limit of its own.
 			e.carryOut(ctx, g, next)
 			return nil
 		})
 	}
 }
 
+// call carries out one action within a lease time.
+func (e *Elector) call(ctx context.Context, c call, a Action) ([]Action, error) {
+	defer e.end(c)
+	ctx, cancel := context.WithTimeout(ctx, e.c.Lease.Duration())
+	defer cancel()
+	return e.act(ctx, c.to, a)
+}
+
 // begin notes a call in progress. It reports false if there is one already.
 func (e *Elector) begin(c call) bool {
 	e.mu.Lock()
@@ -96,11 +103,9 @@
 	}
 }
 
-// act carries out one action, brings the answer back to the machine, and
-// returns what the machine wants next.
+// act carries out one action, brings the answer back to the machine and returns
+// what follows from it.
 func (e *Elector) act(ctx context.Context, to unit.Instance, a Action) ([]Action, error) {
-	ctx, cancel := context.WithTimeout(ctx, e.c.Lease.Duration())
-	defer cancel()
 	switch a := a.(type) {
 	case SendRenew:
 		return nil, e.sendRenew(ctx, to, a.Renew)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,16 +26,11 @@
 const (
 	zoneLease = 1 * clock.Second
 	taskLease = 2 * clock.Second
-	step      = 10 * time.Millisecond
+	step      = 20 * time.Millisecond
 	latency   = 1 * time.Millisecond
 )
 
-const worldText = `
-AvailabilityZones: [{Name: a}, {Name: b}]
-Teams:
-  - Name: booking
-    Share: 3
-    Limit: {CPU: "4", Memory: 8GB, Slots: 8, Connections: 8}
+const worldText = worldHead + `    Limit: {CPU: "4", Memory: 8GB, Slots: 8, Connections: 8}
   - Name: prelo
     Share: 1
 Queues:
@@ -42,6 +38,16 @@
   - {Name: proofs, Team: prelo, Access: Open, Class: Deferred, Need: {CPU: 1, Memory: 1GB, Slots: 1}}
 `
 
+const worldHead = `
+AvailabilityZones: [{Name: a}, {Name: b}]
+Teams:
+  - Name: booking
+    Share: 3
+`
+
+// lowerText halves the limit.
+var lowerText = strings.Replace(worldText, `CPU: "4"`, `CPU: "2"`, 1)
+
 // world is a fleet in the virtual time of a synctest bubble: real schedulers
 // and electors on a fake log, mesh and upstreams, which break as a cell of the
 // matrix says. A frozen instance's clock stands still and nothing gets in or
@@ -60,11 +66,16 @@
 	// hooks run once, when the watched request reaches a step.
 	hooks   map[pathStep]func()
 	watched unit.Request
-	flaw    flaw
-	group   errgroup.Group
-	ctx     context.Context
-	cancel  context.CancelFunc
-	begun   time.Time
+	// reset breaks the connection of the watched request's next start once the
+	// order was received.
+	reset bool
+	// lastVictim is the scheduler of zone a that a fault hit last.
+	lastVictim unit.Instance
+	flaw       flaw
+	group      errgroup.Group
+	ctx        context.Context
+	cancel     context.CancelFunc
+	begun      time.Time
 }
 
 // node is one entry instance.
@@ -99,7 +110,12 @@
 	for _, name := range w.names {
 		w.boot(name)
 	}
-	w.log.put(registrar.PutConfig{ID: "first", Text: []byte(worldText)})
+	text := worldText
+	if fl.overAllots {
+		// Each zone's even part is the whole of the limit that holds.
+		text = strings.Replace(worldText, `CPU: "4"`, `CPU: "8"`, 1)
+	}
+	w.log.put(registrar.PutConfig{ID: "first", Text: []byte(text)})
 	w.obs.limits["booking"] = unit.Resources{CPU: 4000, Memory: 8 * unit.Gigabyte, Accelerators: unit.Unlimited, Slots: 8, Connections: 8}
 	w.group.Go(w.runClocks)
 	return w
@@ -285,14 +301,15 @@
 
 // Call implements instance.Caller.
 func (m mesh) Call(ctx context.Context, to unit.Instance, method instance.Method, body []byte) ([]byte, error) {
-	handler := func(n *node) ([]byte, error) { return n.elect.Handlers()[method](ctx, m.n.name, body) }
-	return exchange(ctx, m.n, to, handler)
+	return exchange(ctx, m.n, to, func(ctx context.Context, n *node) ([]byte, error) {
+		return n.elect.Handlers()[method](ctx, m.n.name, body)
+	})
 }
 
 // exchange carries a request to an instance and its answer back. A request to
 // a frozen instance is handled once it goes on, whether or not the sender
 // still waits.
-func exchange[R any](ctx context.Context, from *node, to unit.Instance, serve func(n *node) (R, error)) (R, error) {
+func exchange[R any](ctx context.Context, from *node, to unit.Instance, serve func(ctx context.Context, n *node) (R, error)) (R, error) {
 	type answer struct {
 		r   R
 		err error
@@ -307,12 +324,15 @@
 		return none, &instance.CallError{Peer: to, Cause: errLost}
 	}
 	answers := make(chan answer, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	broken := w.breaks(ctx, target)
 	w.group.Go(func() error {
 		time.Sleep(latency)
 		if !target.thaw() {
 			return nil
 		}
-		r, err := serve(target)
+		r, err := serve(ctx, target)
 		if target.thaw() && !w.isCut(string(to), string(from.name)) {
 			time.Sleep(latency)
 			answers <- answer{r, err}
@@ -327,11 +347,47 @@
 		return a.r, a.err
 	case <-ctx.Done():
 		return none, &instance.CallError{Peer: to, Delivered: true, Cause: ctx.Err()}
+	case <-broken:
+		return none, &instance.CallError{Peer: to, Delivered: true, Cause: errLost}
 	case <-w.ctx.Done():
 		return none, &instance.CallError{Peer: to, Delivered: true, Cause: errLost}
 	}
 }
 
+func (w *world) takesReset(r unit.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	takes := w.reset && r == w.watched
+	w.reset = w.reset && !takes
+	return takes
+}
+
+// idleTimeout is after how long a connection to a silent instance breaks.
+const idleTimeout = 2 * time.Second
+
+// breaks returns a channel that is closed once the connection to an instance
+// breaks, since it died or was silent for long.
+func (w *world) breaks(ctx context.Context, target *node) <-chan struct{} {
+	broken := make(chan struct{})
+	w.group.Go(func() error {
+		silent := time.Duration(0)
+		for ctx.Err() == nil && silent < idleTimeout {
+			select {
+			case <-ctx.Done():
+			case <-time.After(idleTimeout / 10):
+			}
+			if target.isUp() {
+				silent = 0
+			} else {
+				silent += idleTimeout / 10
+			}
+		}
+		close(broken)
+		return nil
+	})
+	return broken
+}
+
 // wire is the way from an instance to the upstreams.
 type wire struct{ n *node }
 
@@ -346,6 +402,14 @@
 	if u.isDead() || w.isCut(string(x.n.name), address) {
 		return w.flaw.reply(nil, &dispatcher.NotSentError{Task: o.Task, Cause: errLost})
 	}
+	if w.takesReset(o.Request) {
+		w.group.Go(func() error {
+			u.start(o)
+			return nil
+		})
+		time.Sleep(50 * latency)
+		return w.flaw.reply(nil, errLost)
+	}
 	replies := make(chan dispatcher.StartReply, 2)
 	for range u.copies(o.Request) {
 		w.group.Go(func() error {
