--- /dev/null
+++ b/driver/driver.go
@@ -0,0 +1,194 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Methods of a domain on the mesh.
+const (
+	// MethodRequest brings a request to the holder.
+	MethodRequest instance.Method = "domain.request"
+	// MethodAdvise asks an instance to ask the advice service.
+	MethodAdvise instance.Method = "domain.advise"
+)
+
+// watchEvery is the time between two looks at the leadership; it adds to the
+// time until a new holder starts work.
+const watchEvery = 10 * clock.Millisecond
+
+// Log is the replicated log that the session stands on; *replicator.Node
+// implements it.
+type Log interface {
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	Lead() (replicator.Term, clock.Millis, bool)
+	Status() replicator.Status
+}
+
+// Upstreams carries out orders.
+type Upstreams interface {
+	// Start and Stop return the upstream's clock, 0 if it didn't tell.
+	Start(ctx context.Context, token uint64, s planner.Start) (planner.Answer, clock.Millis)
+	Stop(ctx context.Context, token uint64, s planner.Stop) (planner.Answer, clock.Millis)
+	// Look returns ErrOtherLife if another life answered.
+	Look(ctx context.Context, token uint64, l planner.Look) (planner.Seen, error)
+}
+
+// ErrOtherLife says that another life of an upstream has answered.
+var ErrOtherLife = errors.New("another life of the upstream answered")
+
+// Config configures a Driver.
+type Config struct {
+	Self unit.Instance
+	Log  Log
+	// State is what the log is applied to.
+	State     *keeper.State
+	Upstreams Upstreams
+	Mesh      instance.Caller
+	Clock     clock.Clock
+	Planner   planner.Config
+	Logger    logrus.FieldLogger
+	Metrics   tally.Scope
+}
+
+// Driver runs a session whenever this instance holds the domain.
+type Driver struct {
+	cfg     Config
+	log     logrus.FieldLogger
+	metrics metrics
+	done    chan struct{}
+
+	// spent is the last term whose session ended with a proposal that may still
+	// be committed: what that term's log will hold isn't known.
+	spent replicator.Term
+
+	mu      sync.Mutex
+	session *session
+}
+
+// New returns a driver.
+func New(c Config) *Driver {
+	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{})}
+}
+
+// Run starts and ends sessions until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	defer close(d.done)
+	ticker := time.NewTicker(watchEvery.Duration())
+	defer ticker.Stop()
+	for {
+		d.watch(ctx)
+		select {
+		case <-ctx.Done():
+			if s := d.current(); s != nil {
+				s.end("shutting down")
+			}
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Driver) current() *session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.session
+}
+
+// watch aligns the session with the leadership.
+func (d *Driver) watch(ctx context.Context) {
+	term, since, leads := d.cfg.Log.Lead()
+	s := d.current()
+	if s != nil {
+		if st := d.cfg.Log.Status(); st.Role == replicator.RoleLeader && st.Term == s.term && s.ctx.Err() == nil {
+			return
+		}
+		s.end("the leadership is over")
+		if s.unsure {
+			d.spent = s.term
+		}
+		d.mu.Lock()
+		d.session = nil
+		d.mu.Unlock()
+	}
+	if !leads || term == d.spent {
+		return
+	}
+	s, err := newSession(ctx, d, term, since)
+	if err != nil {
+		d.log.WithError(err).Error("taking the domain over failed")
+		return
+	}
+	d.mu.Lock()
+	d.session = s
+	d.mu.Unlock()
+	s.start()
+}
+
+// isHolding reports whether a term's lease is valid now.
+func (d *Driver) isHolding(term replicator.Term) bool {
+	t, _, ok := d.cfg.Log.Lead()
+	return ok && t == term
+}
+
+// Envelope is the answer of an instance to MethodRequest.
+type Envelope struct {
+	_ struct{} `cbor:",toarray"`
+	// NotHolder: the instance doesn't hold the domain; nothing was done.
+	NotHolder bool
+	// Holder is who is believed to hold it; empty if unknown.
+	Holder unit.Instance
+	// Members are the instances that may hold it.
+	Members []unit.Instance
+	Reply   planner.Reply
+}
+
+// Serve handles MethodRequest.
+func (d *Driver) Serve(ctx context.Context, _ unit.Instance, body []byte) ([]byte, error) {
+	r, err := planner.DecodeRequest(body)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.Marshal(d.Ask(ctx, r)), nil
+}
+
+// Ask gives a request to the session, if there is one here.
+func (d *Driver) Ask(ctx context.Context, r planner.Request) Envelope {
+	st := d.cfg.Log.Status()
+	e := Envelope{Holder: st.Leader, Members: members(st.Membership)}
+	s := d.current()
+	if s == nil {
+		e.NotHolder = true
+		if e.Holder == d.cfg.Self {
+			e.Holder = ""
+		}
+		return e
+	}
+	e.Holder = d.cfg.Self
+	e.Reply = s.ask(ctx, r)
+	return e
+}
+
+func members(m replicator.Membership) []unit.Instance {
+	var ids []unit.Instance
+	for _, v := range m.Voters {
+		ids = append(ids, v.Instance)
+	}
+	for _, l := range m.Learners {
+		ids = append(ids, l.Instance)
+	}
+	return ids
+}
--- /dev/null
+++ b/driver/effect.go
@@ -0,0 +1,177 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// orderTimeout bounds a start or a stop; a sound upstream answers within
+	// a round trip.
+	orderTimeout = 1 * clock.Second
+	// lookSlack is what a look may take beyond the wait that it asks for.
+	lookSlack = 1 * clock.Second
+	// lookPace is the least time between two looks at an upstream: each of
+	// them costs, and the ends of that time come together.
+	lookPace = 120 * clock.Millisecond
+	// lookRetry is the wait after a look without an answer.
+	lookRetry = 250 * clock.Millisecond
+)
+
+// carryOut starts an effect; it doesn't wait for the result.
+func (s *session) carryOut(e planner.Effect) {
+	switch e := e.(type) {
+	case planner.Settle:
+		e.Reply()
+	case planner.Start:
+		s.group.Go(func() error {
+			s.sendStart(e)
+			return nil
+		})
+	case planner.Stop:
+		s.group.Go(func() error {
+			s.sendStop(e)
+			return nil
+		})
+	case planner.Advise:
+		s.group.Go(func() error {
+			s.advise(e)
+			return nil
+		})
+	}
+}
+
+// errNoLease is why an order wasn't sent.
+var errNoLease = errors.New("the lease of the log has lapsed")
+
+func (s *session) sendStart(e planner.Start) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
+	defer cancel()
+	var a planner.Answer = planner.Unanswered{Cause: errNoLease}
+	var clk clock.Millis
+	started := time.Now()
+	// The lease is checked last, since everything before may have taken long.
+	if s.d.isHolding(s.term) {
+		a, clk = s.d.cfg.Upstreams.Start(ctx, uint64(s.term), e)
+		s.d.metrics.start.RecordDuration(time.Since(started))
+	}
+	s.logAnswer("start", e.Run, e.To, a)
+	s.do(func(p *planner.Planner) { p.Started(s.now(), e.Run, e.To, a, clk) })
+}
+
+func (s *session) sendStop(e planner.Stop) {
+	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
+	defer cancel()
+	var a planner.Answer = planner.Unanswered{Cause: errNoLease}
+	var clk clock.Millis
+	if s.d.isHolding(s.term) {
+		a, clk = s.d.cfg.Upstreams.Stop(ctx, uint64(s.term), e)
+	}
+	s.logAnswer("stop", e.Run, e.To, a)
+	s.do(func(p *planner.Planner) { p.Stopped(s.now(), e.Run, a, clk) })
+}
+
+// AdviceQuestion is the body of MethodAdvise.
+type AdviceQuestion struct {
+	_         struct{} `cbor:",toarray"`
+	Step      string
+	Upstreams []unit.Upstream
+}
+
+// AdviceAnswer is the answer to MethodAdvise.
+type AdviceAnswer struct {
+	_ struct{} `cbor:",toarray"`
+	// Good are the upstreams that may run the step, with their tickets.
+	Good map[unit.Upstream]string
+	// Life is how long the tickets are valid.
+	Life clock.Millis
+}
+
+func (s *session) advise(e planner.Advise) {
+	ctx, cancel := context.WithTimeout(s.ctx, e.Wait.Duration())
+	defer cancel()
+	started := time.Now()
+	var answer AdviceAnswer
+	body, err := s.d.cfg.Mesh.Call(ctx, e.Via, MethodAdvise, encoder.Marshal(AdviceQuestion{Step: e.Step.String(), Upstreams: e.Upstreams}))
+	if err == nil {
+		err = encoder.Unmarshal(body, &answer)
+	}
+	s.d.metrics.advice.RecordDuration(time.Since(started))
+	s.logAdvice(e, answer, err)
+	s.do(func(p *planner.Planner) { p.Advised(s.now(), e, answer.Good, answer.Life, err) })
+}
+
+// followUpstreams starts to look at upstreams that are new. It is called with
+// the lock held.
+func (s *session) followUpstreams() {
+	for _, id := range s.planner.HostIDs() {
+		if s.looked[id] {
+			continue
+		}
+		s.looked[id] = true
+		s.group.Go(func() error {
+			s.lookAfter(id)
+			return nil
+		})
+	}
+}
+
+// lookAfter extends an upstream's lease and takes in what it lists, until it is
+// gone.
+func (s *session) lookAfter(id unit.Upstream) {
+	for s.ctx.Err() == nil {
+		s.mu.Lock()
+		look, ok := s.planner.NextLook(s.now(), id)
+		if !ok {
+			delete(s.looked, id)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		if !s.awaitLease() {
+			return
+		}
+		if s.look(look) {
+			_ = clock.Sleep(s.ctx, lookPace)
+		} else {
+			_ = clock.Sleep(s.ctx, lookRetry)
+		}
+	}
+}
+
+// look sends one look and waits until what it told is committed, since the next
+// look lets the upstream forget it.
+func (s *session) look(l planner.Look) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, (l.Wait + lookSlack).Duration())
+	defer cancel()
+	sentAt := s.now()
+	seen, err := s.d.cfg.Upstreams.Look(ctx, uint64(s.term), l)
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.d.metrics.looks.Inc(1)
+	if err != nil {
+		s.logLook(l, err)
+		s.do(func(p *planner.Planner) { p.LookFailed(s.now(), l.To, errors.Is(err, ErrOtherLife)) })
+		return false
+	}
+	s.mu.Lock()
+	s.planner.Looked(s.now(), sentAt, l.To, seen)
+	s.collect()
+	signal(s.wake)
+	committed := s.barrier()
+	s.mu.Unlock()
+	select {
+	case <-committed:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/driver/log.go
@@ -0,0 +1,140 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/planner"
+)
+
+// metrics of the holder.
+type metrics struct {
+	request, commit, start, advice tally.Histogram
+	looks, accepted, starts        tally.Counter
+	ends                           map[keeper.How]tally.Counter
+}
+
+// buckets span the times from a local answer to a few seconds.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	s = s.SubScope("domain")
+	m := metrics{
+		request:  s.Histogram("request_seconds", buckets),
+		commit:   s.Histogram("commit_seconds", buckets),
+		start:    s.Histogram("start_seconds", buckets),
+		advice:   s.Histogram("advice_seconds", buckets),
+		looks:    s.Counter("looks"),
+		accepted: s.Counter("jobs_accepted"),
+		starts:   s.Counter("runs_started"),
+		ends:     map[keeper.How]tally.Counter{},
+	}
+	for how, name := range hows {
+		m.ends[how] = s.Tagged(map[string]string{"how": name}).Counter("runs_ended")
+	}
+	return m
+}
+
+var hows = map[keeper.How]string{
+	keeper.Lost: "Lost", keeper.Done: "Done", keeper.FailedRun: "Failed", keeper.Stopped: "Stopped",
+	keeper.Lapsed: "Lapsed", keeper.Broken: "Broken", keeper.Alone: "Alone",
+}
+
+var phases = map[keeper.Phase]string{
+	keeper.Queued: "Queued", keeper.Running: "Running", keeper.Completed: "Completed",
+	keeper.Failed: "Failed", keeper.Cancelled: "Cancelled",
+}
+
+// Names of the fields of the holder's lines.
+const (
+	fieldRun  = "Run"
+	fieldLife = "Life"
+)
+
+// logCommands writes a line for each decision that was committed.
+func (s *session) logCommands(list []keeper.Command) {
+	for _, c := range list {
+		switch c := c.(type) {
+		case keeper.AcceptJob:
+			s.d.metrics.accepted.Inc(1)
+			s.log.WithFields(logrus.Fields{
+				logger.FieldRequest: c.ID, "Account": c.Account, "Queue": c.Queue.Name, "Steps": len(c.Work.Steps),
+			}).Info("accepted a job")
+		case keeper.EndJob:
+			s.log.WithFields(logrus.Fields{logger.FieldRequest: c.ID, "Phase": phases[c.Phase]}).Info("ended a job")
+		case keeper.StartRun:
+			s.d.metrics.starts.Inc(1)
+			s.log.WithFields(logrus.Fields{
+				logger.FieldTask: c.Task.String(), fieldRun: c.Number, logger.FieldUpstream: c.Upstream, fieldLife: c.Life,
+			}).Info("starting a task")
+		case keeper.EndRun:
+			s.d.metrics.ends[c.How].Inc(1)
+			s.log.WithFields(logrus.Fields{
+				logger.FieldTask: c.Task.String(), fieldRun: c.Number, logger.FieldUpstream: c.Upstream, "How": hows[c.How], "Noted": c.Noted,
+			}).Info("a run has ended")
+		case keeper.SetConfig:
+			s.log.WithFields(logrus.Fields{"ConfigVersion": c.Config.Version, "Queues": len(c.Config.Queues)}).Info("the configuration has changed")
+		case keeper.SetUpstream:
+			s.log.WithFields(logrus.Fields{
+				logger.FieldUpstream: c.Upstream.ID, fieldLife: c.Upstream.Life, "Draining": c.Upstream.Draining, "Address": c.Upstream.Address,
+			}).Info("an upstream has announced itself")
+		case keeper.RemoveUpstream:
+			s.log.WithFields(logrus.Fields{logger.FieldUpstream: c.ID, fieldLife: c.Life}).Info("an upstream is gone")
+		}
+	}
+}
+
+// logReply writes a line for a request that was refused.
+func (s *session) logReply(r planner.Request, a planner.Reply) {
+	if a.Code == planner.OK {
+		return
+	}
+	fields := logrus.Fields{"Code": a.Code, "Reason": a.Why, "RetryAfter": a.RetryAfter}
+	switch r := r.(type) {
+	case planner.Submit:
+		fields[logger.FieldRequest], fields["Path"] = r.ID, r.To.Path
+	case planner.Inspect:
+		fields[logger.FieldRequest], fields["Path"] = r.ID, r.To.Path
+	case planner.Cancel:
+		fields[logger.FieldRequest], fields["Path"] = r.ID, r.To.Path
+	case planner.Count:
+		fields["Path"] = r.To.Path
+	}
+	s.log.WithFields(fields).Info("refused a request")
+}
+
+// logAnswer writes a line for an order that wasn't carried out.
+func (s *session) logAnswer(order string, run keeper.RunKey, to planner.Target, a planner.Answer) {
+	fields := logrus.Fields{
+		"Order": order, logger.FieldTask: run.Task.String(), fieldRun: run.Number, logger.FieldUpstream: to.ID, fieldLife: to.Life,
+	}
+	switch a := a.(type) {
+	case planner.Done:
+	case planner.Refused:
+		s.log.WithFields(fields).WithField("Reason", a.Reason).Info("an upstream refused an order")
+	case planner.Unanswered:
+		s.log.WithFields(fields).WithError(a.Cause).Warn("an order has no answer")
+	}
+}
+
+func (s *session) logAdvice(e planner.Advise, a AdviceAnswer, err error) {
+	l := s.log.WithFields(logrus.Fields{
+		"Step": e.Step.String(), "Via": e.Via, "Asked": len(e.Upstreams), "Good": len(a.Good), "Life": a.Life,
+	})
+	if err != nil {
+		l.WithError(err).Warn("a question for advice has no answer")
+		return
+	}
+	l.Debug("got advice")
+}
+
+func (s *session) logLook(l planner.Look, err error) {
+	s.log.WithFields(logrus.Fields{logger.FieldUpstream: l.To.ID, fieldLife: l.To.Life}).WithError(err).Warn("a look at an upstream failed")
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,234 @@
+// Package forwarder brings requests from any instance to the holder of the
+// domain and its answers back.
+//
+// A Forwarder starts from a few contacts, instances that may know the holder,
+// and learns the others from their answers. All requests are safe to resend, so
+// it tries again, at another instance too, until the caller's time is over. Its
+// last word then says whether the holder may have got the request: Unavailable
+// only if it surely didn't.
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/driver"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// tryTimeout bounds one try. A commit takes some tens of milliseconds; a
+	// holder that is silent for longer may have lost the domain.
+	tryTimeout = 900 * clock.Millisecond
+	// tryPause is the wait between two tries, jittered.
+	tryPause = 40 * clock.Millisecond
+	// attendEvery is the time between two signs of life to the holder.
+	attendEvery = 500 * clock.Millisecond
+	// attendSearch is the wait between them while no holder is known.
+	attendSearch = 100 * clock.Millisecond
+	// retryAfter is when a caller may come back after no holder was found: an
+	// election takes about that long.
+	retryAfter = 1 * clock.Second
+)
+
+// Config configures a Forwarder.
+type Config struct {
+	Self unit.Instance
+	// Contacts are instances that may know the holder.
+	Contacts []unit.Instance
+	Mesh     instance.Caller
+	Clock    clock.Clock
+	// Advises: the holder may send this instance questions for the advice
+	// service.
+	Advises bool
+	Logger  logrus.FieldLogger
+}
+
+// Forwarder knows the way to the holder.
+type Forwarder struct {
+	cfg  Config
+	done chan struct{}
+
+	mu     sync.Mutex
+	holder unit.Instance
+	// known are all instances that may hold the domain.
+	known  []unit.Instance
+	next   int
+	reach  clock.Millis
+	bounds keeper.Bounds
+}
+
+// New returns a forwarder.
+func New(c Config) *Forwarder {
+	return &Forwarder{cfg: c, known: slices.Clone(c.Contacts), next: rand.IntN(max(len(c.Contacts), 1)), done: make(chan struct{})}
+}
+
+// Run attends at the holder until ctx ends.
+func (f *Forwarder) Run(ctx context.Context) error {
+	defer close(f.done)
+	for ctx.Err() == nil {
+		wait := attendEvery
+		try, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
+		r, err := f.try(try, planner.EncodeRequest(planner.Attend{From: f.cfg.Self, Advises: f.cfg.Advises}))
+		cancel()
+		if err != nil || r.Code != planner.OK {
+			wait = attendSearch
+		} else {
+			f.mu.Lock()
+			f.bounds = r.Bounds
+			f.mu.Unlock()
+		}
+		_ = clock.Sleep(ctx, wait)
+	}
+	return nil
+}
+
+// SetContacts replaces the contacts.
+func (f *Forwarder) SetContacts(list []unit.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Contacts = slices.Clone(list)
+	for _, c := range list {
+		if !slices.Contains(f.known, c) {
+			f.known = append(f.known, c)
+		}
+	}
+}
+
+// ReachedAt returns when the holder last answered; 0 if never.
+func (f *Forwarder) ReachedAt() clock.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reach
+}
+
+// Bounds returns the limits of the HTTP interface, as last heard.
+func (f *Forwarder) Bounds() keeper.Bounds {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bounds
+}
+
+// Holder returns who is believed to hold the domain; empty if unknown.
+func (f *Forwarder) Holder() unit.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holder
+}
+
+// Ask brings a request to the holder, trying until ctx ends.
+func (f *Forwarder) Ask(ctx context.Context, r planner.Request) planner.Reply {
+	body := planner.EncodeRequest(r)
+	doubt := false
+	var last error
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
+		reply, err := f.try(try, body)
+		cancel()
+		if err == nil && reply.Code != planner.Unknown {
+			return reply
+		}
+		if err == nil {
+			err = errors.Newf("%s", reply.Why)
+			doubt = true
+		}
+		if call := new(instance.CallError); errors.As(err, &call) && call.Delivered {
+			doubt = true
+		}
+		last = err
+		_ = clock.Sleep(ctx, tryPause/2+rand.N(tryPause))
+	}
+	if doubt {
+		return planner.Reply{Code: planner.Unknown, Why: text(last)}
+	}
+	return planner.Reply{Code: planner.Unavailable, Why: text(last), RetryAfter: retryAfter}
+}
+
+func text(err error) string {
+	if err == nil {
+		return "the time was over before a try"
+	}
+	return err.Error()
+}
+
+// errNoHolder is a try at an instance that doesn't hold the domain.
+var errNoHolder = errors.New("no instance holds the domain")
+
+func (f *Forwarder) try(ctx context.Context, body []byte) (planner.Reply, error) {
+	to := f.pick()
+	if to == "" {
+		return planner.Reply{}, errNoHolder
+	}
+	answer, err := f.cfg.Mesh.Call(ctx, to, driver.MethodRequest, body)
+	if err != nil {
+		f.forget(to)
+		return planner.Reply{}, err
+	}
+	var e driver.Envelope
+	if err := encoder.Unmarshal(answer, &e); err != nil {
+		return planner.Reply{}, err
+	}
+	f.learn(to, e)
+	if e.NotHolder {
+		return planner.Reply{}, errNoHolder
+	}
+	return e.Reply, nil
+}
+
+// pick returns the holder, or the next instance that may know it.
+func (f *Forwarder) pick() unit.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holder != "" {
+		return f.holder
+	}
+	if len(f.known) == 0 {
+		return ""
+	}
+	f.next = (f.next + 1) % len(f.known)
+	return f.known[f.next]
+}
+
+func (f *Forwarder) forget(id unit.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holder == id {
+		f.holder = ""
+	}
+}
+
+func (f *Forwarder) learn(from unit.Instance, e driver.Envelope) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(e.Members) > 0 {
+		// The contacts stay: the members of a stale answer may all be gone.
+		f.known = slices.Clone(e.Members)
+		for _, c := range f.cfg.Contacts {
+			if !slices.Contains(f.known, c) {
+				f.known = append(f.known, c)
+			}
+		}
+	}
+	switch {
+	case !e.NotHolder:
+		if f.holder != from && f.cfg.Logger != nil {
+			f.cfg.Logger.WithField("Holder", from).Info("found the holder of the domain")
+		}
+		f.holder = from
+		f.reach = f.cfg.Clock.Now()
+	case e.Holder != "" && e.Holder != from:
+		f.holder = e.Holder
+	case f.holder == from:
+		f.holder = ""
+	}
+}
--- /dev/null
+++ b/instance/tcp.go
@@ -0,0 +1,317 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// pingEvery is the time between signs of life on an idle connection. It is
+	// a fraction of tcpSilence, so one lost sign ends nothing.
+	pingEvery = 400 * time.Millisecond
+	// tcpSilence is the time without a sign of life after which a connection
+	// is given up: it bounds how long calls go to a connection that died
+	// without a reset. A stalled process (garbage collection, a quota that is
+	// used up) stays silent for less.
+	tcpSilence = 1200 * time.Millisecond
+	// tcpDialTimeout bounds one attempt to connect; a partition drops the
+	// opening packet silently.
+	tcpDialTimeout = 700 * time.Millisecond
+	// redialAfter is how long a failed attempt answers further calls, so that
+	// a peer that is down isn't dialled for each of them.
+	redialAfter = 100 * time.Millisecond
+	// writeTimeout bounds one write to a peer that doesn't read.
+	writeTimeout = 3 * time.Second
+	// maxQueued bounds the bytes that wait for one connection.
+	maxQueued = 16 << 20
+)
+
+// TCPConfig configures a TCP mesh. Logger and Metrics may be nil.
+type TCPConfig struct {
+	// Listen is the mesh address, as IP:PORT. It is also the name under which
+	// peers know this instance.
+	Listen  string
+	Logger  logrus.FieldLogger
+	Metrics tally.Scope
+}
+
+// TCP is a mesh over plain TCP, for a closed network in which instances have
+// no certificates. An instance is named by its mesh address, so any instance
+// can be called without a list of peers. Each side dials for its own calls;
+// replies come back on the same connection.
+type TCP struct {
+	cfg      TCPConfig
+	log      logrus.FieldLogger
+	metrics  metrics
+	listener net.Listener
+	handlers map[Method]Handler
+
+	group errgroup.Group
+	ctx   context.Context
+	stop  context.CancelFunc
+
+	mu    sync.Mutex
+	links map[unit.Instance]*link
+	// accepted are the connections that peers have dialled.
+	accepted map[*wire]struct{}
+}
+
+var _ Caller = (*TCP)(nil)
+
+// NewTCP binds the mesh's address. Handlers are added next, then Run serves.
+func NewTCP(cfg TCPConfig) (*TCP, error) {
+	if cfg.Logger == nil {
+		cfg.Logger = logger.Discard()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "binding the mesh address")
+	}
+	t := &TCP{
+		cfg: cfg, log: cfg.Logger, metrics: newMetrics(cfg.Metrics), listener: ln,
+		handlers: map[Method]Handler{},
+		links:    map[unit.Instance]*link{},
+		accepted: map[*wire]struct{}{},
+	}
+	t.ctx, t.stop = context.WithCancel(context.Background())
+	return t, nil
+}
+
+// Self returns the name of this instance.
+func (t *TCP) Self() unit.Instance { return unit.Instance(t.listener.Addr().String()) }
+
+// Handle sets the handler of a method, for calls and for one-way messages. It
+// is called before Run. One-way messages of a peer are handled one at a time
+// in order, so their handlers must not block.
+func (t *TCP) Handle(method Method, h Handler) { t.handlers[method] = h }
+
+// Run serves until ctx ends and returns once all goroutines have ended.
+func (t *TCP) Run(ctx context.Context) error {
+	stopped := context.AfterFunc(ctx, t.stop)
+	defer stopped()
+	t.group.Go(t.accept)
+	<-t.ctx.Done()
+	err := t.listener.Close()
+	t.mu.Lock()
+	for w := range t.accepted {
+		w.close(errors.New("the mesh is closing"))
+	}
+	for _, l := range t.links {
+		l.close()
+	}
+	t.mu.Unlock()
+	return errors.CombineErrors(t.group.Wait(), err)
+}
+
+// Close ends the mesh.
+func (t *TCP) Close() { t.stop() }
+
+func (t *TCP) accept() error {
+	for {
+		c, err := t.listener.Accept()
+		if err != nil {
+			if t.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accepting connections of the mesh")
+		}
+		w := t.newWire(c, "")
+		t.mu.Lock()
+		t.accepted[w] = struct{}{}
+		t.mu.Unlock()
+		w.run(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			delete(t.accepted, w)
+		})
+	}
+}
+
+func (t *TCP) link(to unit.Instance) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.links[to]
+	if l == nil {
+		l = &link{mesh: t, to: to}
+		t.links[to] = l
+	}
+	return l
+}
+
+// Call implements Caller. A call to the instance itself goes straight to the
+// handler.
+func (t *TCP) Call(ctx context.Context, to unit.Instance, method Method, body []byte) ([]byte, error) {
+	t.metrics.calls.Inc(1)
+	answer, err := t.call(ctx, to, method, body)
+	if err != nil {
+		t.metrics.callFailures.Inc(1)
+	}
+	return answer, err
+}
+
+func (t *TCP) call(ctx context.Context, to unit.Instance, method Method, body []byte) ([]byte, error) {
+	if len(body) > MaxBody || len(method) > maxMethodName {
+		return nil, &CallError{Peer: to, Cause: errors.Newf("a body of %d bytes is too long", len(body))}
+	}
+	if to == t.Self() {
+		return callHandler(ctx, t.handlers, to, method, body)
+	}
+	w, err := t.link(to).connection(ctx)
+	if err != nil {
+		return nil, &CallError{Peer: to, Cause: err}
+	}
+	reply, err := w.exchange(ctx, method, body)
+	if err != nil {
+		return nil, &CallError{Peer: to, Delivered: true, Cause: err}
+	}
+	return answerOf(to, replyFrame{Status: reply.status, Body: reply.body})
+}
+
+// Send gives a one-way message to a method of a peer and returns at once. What
+// arrives does so in the order of sending. A message is dropped while there is
+// no connection, when the queue is full and when the connection is lost.
+func (t *TCP) Send(to unit.Instance, method Method, body []byte) {
+	t.metrics.notes.Inc(1)
+	if to == t.Self() || len(body) > MaxBody {
+		t.metrics.notesDropped.Inc(1)
+		return
+	}
+	l := t.link(to)
+	w := l.current()
+	if w == nil {
+		l.dialInBackground()
+		t.metrics.notesDropped.Inc(1)
+		return
+	}
+	if !w.send(wireFrame{kind: wireNote, method: method, body: body}) {
+		t.metrics.notesDropped.Inc(1)
+	}
+}
+
+// link is the way to one peer.
+type link struct {
+	mesh *TCP
+	to   unit.Instance
+
+	mu      sync.Mutex
+	wire    *wire
+	dialing chan struct{}
+	failure error
+	failed  time.Time
+}
+
+func (l *link) current() *wire {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wire
+}
+
+func (l *link) close() {
+	if w := l.current(); w != nil {
+		w.close(errors.New("the mesh is closing"))
+	}
+}
+
+// connection returns the connection, dialling if there is none. It fails at
+// once for a short time after a failed attempt.
+func (l *link) connection(ctx context.Context) (*wire, error) {
+	for {
+		l.mu.Lock()
+		w, failure, recent := l.wire, l.failure, time.Since(l.failed) < redialAfter
+		l.mu.Unlock()
+		if w != nil {
+			return w, nil
+		}
+		if failure != nil && recent {
+			return nil, failure
+		}
+		select {
+		case <-l.dialInBackground():
+		case <-ctx.Done():
+			return nil, errors.Wrap(ctx.Err(), "waiting for a connection")
+		}
+	}
+}
+
+// dialInBackground starts an attempt, unless one is under way or has just
+// failed, and returns what is closed at its end.
+func (l *link) dialInBackground() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dialing != nil {
+		return l.dialing
+	}
+	done := make(chan struct{})
+	if l.wire != nil || time.Since(l.failed) < redialAfter || l.mesh.ctx.Err() != nil {
+		close(done)
+		return done
+	}
+	l.dialing = done
+	l.mesh.group.Go(func() error {
+		defer close(done)
+		l.dial()
+		return nil
+	})
+	return done
+}
+
+func (l *link) dial() {
+	ctx, cancel := context.WithTimeout(l.mesh.ctx, tcpDialTimeout)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", string(l.to))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dialing = nil
+	if err != nil {
+		l.mesh.metrics.dialFailures.Inc(1)
+		l.failure, l.failed = errors.Wrapf(err, "connecting to %s", l.to), time.Now()
+		return
+	}
+	l.failure = nil
+	w := l.mesh.newWire(c, l.to)
+	l.wire = w
+	l.mesh.log.WithField(logger.FieldPeer, l.to).Info("connected to an instance")
+	w.run(func() { l.lost(w) })
+}
+
+func (l *link) lost(w *wire) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.wire == w {
+		l.wire = nil
+	}
+	l.mesh.log.WithField(logger.FieldPeer, l.to).WithError(w.cause()).Info("lost the connection to an instance")
+}
+
+// callHandler runs the handler of a call that this instance makes to itself.
+func callHandler(ctx context.Context, handlers map[Method]Handler, self unit.Instance, method Method, body []byte) ([]byte, error) {
+	h, known := handlers[method]
+	if !known {
+		return nil, &CallError{Peer: self, Cause: errors.Newf("no method %s", method)}
+	}
+	answer, err := h(ctx, self, body)
+	if err != nil {
+		return nil, &RemoteError{Peer: self, Message: err.Error()}
+	}
+	return answer, nil
+}
+
+// timeoutOf returns the time left of a call, bounded for the frame.
+func timeoutOf(ctx context.Context) clock.Millis {
+	return min(timeLeft(ctx), clock.Hour)
+}
--- /dev/null
+++ b/keeper/apply.go
@@ -0,0 +1,270 @@
+package keeper
+
+import (
+	"slices"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Do records a fact.
+func (s *State) Do(c Command) {
+	switch c := c.(type) {
+	case SetConfig:
+		if c.Config.Version > s.Config.Version {
+			s.Config = c.Config
+		}
+	case SetUpstream:
+		s.setUpstream(c.Upstream)
+	case RemoveUpstream:
+		s.removeUpstream(c)
+	case AcceptJob:
+		s.accept(c)
+	case EndJob:
+		s.endJob(c)
+	case ForgetJob:
+		delete(s.Jobs, c.ID)
+	case StartRun:
+		s.start(c)
+	case EndRun:
+		s.end(c)
+	case SaveCheckpoint:
+		s.save(c)
+	case NoteEnds:
+		s.note(c.Upstream, c.Life, c.Noted)
+	}
+}
+
+func (s *State) setUpstream(u Upstream) {
+	h := s.Hosts[u.ID]
+	if h == nil {
+		s.Hosts[u.ID] = &Host{Upstream: u, Runs: map[RunKey]Held{}}
+		return
+	}
+	if h.Life == u.Life {
+		u.Noted = h.Noted
+	}
+	h.Upstream = u
+}
+
+// removeUpstream ends the runs of a life. The upstream itself stays if it has
+// begun a new life.
+func (s *State) removeUpstream(c RemoveUpstream) {
+	h := s.Hosts[c.ID]
+	if h == nil {
+		return
+	}
+	for _, k := range h.sortedRuns() {
+		if h.Runs[k].Life == c.Life {
+			s.end(EndRun{Task: k.Task, Number: k.Number, Upstream: c.ID, Life: c.Life, How: Lapsed})
+		}
+	}
+	if h.Life == c.Life && len(h.Runs) == 0 {
+		delete(s.Hosts, c.ID)
+	}
+}
+
+// sortedRuns returns the live runs in an order that is the same on all copies.
+func (h *Host) sortedRuns() []RunKey {
+	keys := make([]RunKey, 0, len(h.Runs))
+	for k := range h.Runs {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b RunKey) int {
+		if c := compare(a.Task.String(), b.Task.String()); c != 0 {
+			return c
+		}
+		return a.Number - b.Number
+	})
+	return keys
+}
+
+func (s *State) accept(c AcceptJob) {
+	if s.Jobs[c.ID] != nil {
+		return
+	}
+	s.Jobs[c.ID] = &Job{
+		ID: c.ID, Account: c.Account, Queue: c.Queue, Work: c.Work, AcceptedAt: c.At,
+		Occurrences: map[int]*Occurrence{},
+	}
+}
+
+func (s *State) endJob(c EndJob) {
+	j := s.Jobs[c.ID]
+	if j == nil || j.Phase.IsFinal() {
+		return
+	}
+	j.finish(c.Phase, c.At)
+}
+
+// finish ends a job. Its tasks are kept while some of them have live runs.
+func (j *Job) finish(p Phase, at clock.Millis) {
+	j.Phase, j.EndedAt = p, at
+	j.Work.Spec = ""
+	j.trim()
+}
+
+// trim drops what an ended job without live runs doesn't need.
+func (j *Job) trim() {
+	if j.Phase.IsFinal() && j.Live == 0 {
+		j.Occurrences = nil
+		j.Work.Steps = nil
+	}
+}
+
+// Occurrence returns an occurrence, making it if it hasn't begun. It is nil for
+// a job that has ended.
+func (j *Job) occurrence(k int) *Occurrence {
+	if o := j.Occurrences[k]; o != nil {
+		return o
+	}
+	o := &Occurrence{Steps: make([]*StepState, len(j.Work.Steps))}
+	for i, st := range j.Work.Steps {
+		o.Steps[i] = &StepState{Tasks: make([]*Task, st.Count)}
+		for x := range o.Steps[i].Tasks {
+			o.Steps[i].Tasks[x] = &Task{}
+		}
+	}
+	j.Occurrences[k] = o
+	return o
+}
+
+func (s *State) start(c StartRun) {
+	j := s.Jobs[c.Task.Job]
+	if j == nil || j.Phase.IsFinal() {
+		return
+	}
+	st := j.occurrence(c.Task.Occurrence).Steps[c.Task.Step]
+	t := st.Tasks[c.Task.Index]
+	t.Run = max(t.Run, c.Number)
+	st.Run = max(st.Run, c.Number)
+	r := &Run{Number: c.Number, Upstream: c.Upstream, Life: c.Life, At: c.At}
+	t.Live = append(t.Live, r)
+	j.Live++
+	j.Phase = Running
+	s.hold(j, c.Task, r)
+}
+
+// Task returns a task; nil if the job isn't known or nothing of it is kept.
+func (s *State) Task(id TaskID) (*Job, *StepState, *Task) {
+	j := s.Jobs[id.Job]
+	if j == nil || j.Occurrences[id.Occurrence] == nil {
+		return j, nil, nil
+	}
+	steps := j.Occurrences[id.Occurrence].Steps
+	if id.Step < 0 || id.Step >= len(steps) || id.Index < 0 || id.Index >= len(steps[id.Step].Tasks) {
+		return j, nil, nil
+	}
+	return j, steps[id.Step], steps[id.Step].Tasks[id.Index]
+}
+
+func (s *State) end(c EndRun) {
+	s.note(c.Upstream, c.Life, c.Noted)
+	j, st, t := s.Task(c.Task)
+	if t == nil {
+		return
+	}
+	i := slices.IndexFunc(t.Live, func(r *Run) bool {
+		return r.Number == c.Number && r.Upstream == c.Upstream && r.Life == c.Life
+	})
+	if i < 0 {
+		return
+	}
+	t.Live = slices.Delete(t.Live, i, i+1)
+	j.Live--
+	s.release(j, c)
+	s.judge(j, st, t, c)
+	j.trim()
+}
+
+// release gives back what a run took.
+func (s *State) release(j *Job, c EndRun) {
+	if h := s.Hosts[c.Upstream]; h != nil {
+		key := RunKey{c.Task, c.Number}
+		if held, ok := h.Runs[key]; ok {
+			h.Used = h.Used.Sub(held.Need)
+			delete(h.Runs, key)
+		}
+	}
+	left := s.Used[j.Account].Sub(s.NeedOf(&j.Work.Steps[c.Task.Step]))
+	if left.IsZero() {
+		delete(s.Used, j.Account)
+		return
+	}
+	s.Used[j.Account] = left
+}
+
+// judge records what an end says of the task.
+func (s *State) judge(j *Job, st *StepState, t *Task, c EndRun) {
+	step := &j.Work.Steps[c.Task.Step]
+	if c.Checkpoint != "" && c.How != Done {
+		t.Checkpoint = c.Checkpoint
+		st.Checkpoint = c.Checkpoint
+	}
+	switch {
+	case c.How == Done && !step.LongRunning:
+		s.done(j, st, t, c, step)
+	case c.How == FailedRun && !step.LongRunning:
+		t.Failures++
+		if step.Gang && st.LastFailed < c.Number {
+			st.LastFailed = c.Number
+			st.Failures++
+		}
+	}
+}
+
+func (s *State) done(j *Job, st *StepState, t *Task, c EndRun, step *Step) {
+	if step.Gang {
+		// The members end together, so one end speaks for all.
+		for _, other := range st.Tasks {
+			if !other.Done {
+				other.Done = true
+				st.Done++
+			}
+		}
+	} else if !t.Done {
+		t.Done = true
+		st.Done++
+	} else {
+		return
+	}
+	if st.Done < len(st.Tasks) || j.Phase.IsFinal() {
+		return
+	}
+	s.stepDone(j, c)
+}
+
+// stepDone counts a step that has just become done.
+func (s *State) stepDone(j *Job, c EndRun) {
+	o := j.Occurrences[c.Task.Occurrence]
+	done := 0
+	for _, st := range o.Steps {
+		if st.Done == len(st.Tasks) {
+			done++
+		}
+	}
+	if o.Done == done {
+		return
+	}
+	o.Done = done
+	if done < len(o.Steps) {
+		return
+	}
+	j.DoneOccurrences++
+	if j.DoneOccurrences >= j.Total() {
+		j.finish(Completed, c.At)
+	}
+}
+
+func (s *State) save(c SaveCheckpoint) {
+	if _, st, t := s.Task(c.Task); t != nil {
+		t.Checkpoint = c.Checkpoint
+		st.Checkpoint = c.Checkpoint
+	}
+}
+
+func (s *State) note(id unit.Upstream, life Life, number int64) {
+	if h := s.Hosts[id]; h != nil && h.Life == life {
+		h.Noted = max(h.Noted, number)
+	}
+}
--- /dev/null
+++ b/keeper/upstream.go
@@ -0,0 +1,65 @@
+package keeper
+
+import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Life tells the lives of an upstream under one id apart: the Unix time of its
+// start. A new life remembers nothing of the former one.
+type Life int64
+
+// Upstream is a worker as it last described itself.
+type Upstream struct {
+	_        struct{} `cbor:",toarray"`
+	ID       unit.Upstream
+	Life     Life
+	Address  string
+	Service  string
+	Zone     unit.AvailabilityZone
+	Rack     unit.Rack
+	Labels   []string
+	Capacity unit.Resources
+	// Draining: it has said that it leaves.
+	Draining bool
+	// Machine is the machine that the upstream is a life of.
+	Machine string
+	// Noted is the number of the last end that was taken note of.
+	Noted int64
+}
+
+// HasLabel reports whether the upstream has a label; every upstream has the
+// empty one.
+func (u *Upstream) HasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range u.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Host is an upstream with what may run there.
+type Host struct {
+	Upstream
+	// Used is the need of the live runs.
+	Used unit.Resources
+	Runs map[RunKey]Held
+}
+
+// RunKey names a run.
+type RunKey struct {
+	Task   TaskID
+	Number int
+}
+
+// Held is a live run with what it takes.
+type Held struct {
+	Need    unit.Resources
+	Account unit.ClientAccount
+	Life    Life
+	At      clock.Millis
+}
--- /dev/null
+++ b/planner/host.go
@@ -0,0 +1,243 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// slowClock bounds by how much an upstream's clock may be slow, in percent;
+	// the platform's pages give it.
+	slowClock = 2
+	// lapseMargin covers the rounding of clocks to milliseconds and an estimate
+	// of the upstream's clock that ran ahead during a silence.
+	lapseMargin = 300 * clock.Millisecond
+)
+
+// host is what the holder knows of an upstream beyond the state.
+type host struct {
+	*keeper.Host
+	// life is the one that the rest of the fields speak of.
+	life keeper.Life
+	seq  int64
+	// claimed: it has answered the holder's token, so no order of a former
+	// holder can still be carried out.
+	claimed bool
+	// failing: its last orders or looks got no sound answer.
+	failing bool
+	// leaving: it said goodbye, which may be a late message of a former life.
+	leaving bool
+	// heardAt is when clockAt was heard; clockAt was read before that.
+	heardAt clock.Millis
+	clockAt clock.Millis
+	hasTime bool
+	// expires is the latest lease that was ever ordered, on its clock.
+	expires clock.Millis
+	// lapseAt is when everything on it has surely ended, if nothing more is
+	// ordered.
+	lapseAt clock.Millis
+	// booked is what steps that come first wait to take, during a pass.
+	booked unit.Resources
+	record record
+}
+
+func newHost(h *keeper.Host, c Config) *host {
+	n := &host{Host: h, life: h.Life}
+	// The former holder's orders bound its leases by the most that one may
+	// last from when it lost its own.
+	n.lapseAt = c.Since + slowed(c.MaxHold) + lapseMargin
+	return n
+}
+
+// slowed returns how long a span of a slow clock may last.
+func slowed(span clock.Millis) clock.Millis {
+	return span*100/(100-slowClock) + 1
+}
+
+// hear notes the upstream's clock.
+func (h *host) hear(now, clockAt clock.Millis) {
+	if clockAt <= 0 || h.hasTime && clockAt < h.clockAt {
+		// A late answer says nothing new.
+		return
+	}
+	h.heardAt, h.clockAt, h.hasTime = now, clockAt, true
+	h.setLapse()
+}
+
+func (h *host) setLapse() {
+	if !h.hasTime || h.expires == 0 {
+		return
+	}
+	left := max(h.expires-h.clockAt, 0)
+	h.lapseAt = max(h.heardAt+slowed(left)+lapseMargin, h.heardAt)
+}
+
+// lease returns the longest lease that can be ordered now, on the upstream's
+// clock; 0 if its clock isn't known.
+func (h *host) lease(now, most clock.Millis) clock.Millis {
+	if !h.hasTime {
+		return 0
+	}
+	e := h.clockAt + (now - h.heardAt) + most
+	if e > h.expires {
+		h.expires = e
+		h.setLapse()
+	}
+	return h.expires
+}
+
+func (h *host) target() Target {
+	return Target{ID: h.ID, Address: h.Address, Life: h.Life}
+}
+
+// isUsable reports whether new work may be started there.
+func (h *host) isUsable() bool {
+	return h.claimed && !h.failing && !h.leaving && !h.Draining && h.hasTime
+}
+
+// free returns what is left of the capacity for the steps that come next.
+func (h *host) free() unit.Resources { return h.Capacity.Sub(h.Used).Sub(h.booked) }
+
+// Report is an upstream's description of itself.
+type Report struct {
+	Upstream keeper.Upstream
+	// Clock is the upstream's steady clock.
+	Clock clock.Millis
+	// Seq rises with each report of a life.
+	Seq int64
+	// Remaining is the least time that a draining upstream has left.
+	Remaining clock.Millis
+}
+
+// Report takes an upstream's description; done is called once it is durable.
+func (p *Planner) Report(now clock.Millis, r Report, done func()) {
+	p.now = max(p.now, now)
+	u := r.Upstream
+	h := p.hosts[u.ID]
+	if h != nil && (u.Life < h.Life || u.Life == h.Life && r.Seq <= h.seq && h.seq > 0) {
+		// A late report of a former life, or one that a later one overtook.
+		p.effect(Settle{Reply: done})
+		return
+	}
+	p.endOthersAt(u)
+	if h != nil && h.Life != u.Life {
+		p.newLife(h, u.Life)
+	}
+	if h == nil || !sameDescription(h.Upstream, u) {
+		p.record(keeper.SetUpstream{Upstream: u})
+	}
+	if h == nil {
+		h = newHost(p.state.Hosts[u.ID], p.cfg)
+		p.hosts[u.ID] = h
+		if len(h.Runs) == 0 {
+			// Nothing was ever ordered there.
+			h.claimed = true
+		}
+	}
+	h.life, h.seq, h.leaving = u.Life, r.Seq, false
+	h.hear(p.now, r.Clock)
+	p.dirty = true
+	p.effect(Settle{Reply: done})
+}
+
+func sameDescription(a, b keeper.Upstream) bool {
+	return a.Life == b.Life && a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone &&
+		a.Rack == b.Rack && slices.Equal(a.Labels, b.Labels) && a.Capacity == b.Capacity &&
+		a.Draining == b.Draining && a.Machine == b.Machine
+}
+
+// endOthersAt ends the older lives that had the address of a newer upstream:
+// two can't serve there at once.
+func (p *Planner) endOthersAt(u keeper.Upstream) {
+	for id, o := range p.hosts {
+		if id != u.ID && o.Address == u.Address && o.Life < u.Life {
+			p.removeHost(o)
+		}
+	}
+}
+
+// newLife ends what ran in the former life of an upstream. A start whose answer
+// is missing may still be carried out in the new life, so its run stays live
+// until a stop was answered there.
+func (p *Planner) newLife(h *host, life keeper.Life) {
+	for key := range h.Runs {
+		r := p.runs[key]
+		switch {
+		case r == nil || r.inherited && r.ackedAt == 0:
+			// The claim of the new life rules these out.
+		case r.isDoubtful():
+			r.stopWanted, r.stopAt = true, p.now
+		default:
+			p.endRun(r, keeper.Lapsed, "", 0)
+		}
+	}
+	h.life = life
+	h.seq = 0
+	h.claimed, h.failing = false, false
+	h.hasTime, h.clockAt, h.expires = false, 0, 0
+	h.lapseAt = p.now + slowed(p.cfg.MaxHold) + lapseMargin
+	h.record = record{}
+	p.forgetAdvice(h.ID)
+}
+
+// lapse ends all runs of an upstream.
+func (p *Planner) lapse(h *host) {
+	for key := range h.Runs {
+		if r := p.runs[key]; r != nil {
+			p.endRun(r, keeper.Lapsed, "", 0)
+		}
+	}
+}
+
+// removeHost ends an upstream whose life has surely ended.
+func (p *Planner) removeHost(h *host) {
+	p.lapse(h)
+	p.record(keeper.RemoveUpstream{ID: h.ID, Life: h.Life})
+	delete(p.hosts, h.ID)
+	p.forgetAdvice(h.ID)
+	p.dirty = true
+}
+
+// Leave takes an upstream's goodbye. Only one that was known to drain has
+// surely ended: the message doesn't tell of which life it speaks.
+func (p *Planner) Leave(now clock.Millis, id unit.Upstream, done func()) {
+	p.now = max(p.now, now)
+	if h := p.hosts[id]; h != nil {
+		if h.Draining {
+			p.removeHost(h)
+		} else {
+			h.leaving = true
+		}
+	}
+	p.effect(Settle{Reply: done})
+}
+
+// silentAfter is for how long nothing was heard of an upstream that is
+// forgotten, well over several heartbeats.
+const silentAfter = 15 * clock.Second
+
+// sweepHosts ends what ran on upstreams whose leases have surely lapsed.
+func (p *Planner) sweepHosts() {
+	for _, h := range p.hosts {
+		if p.now <= h.lapseAt {
+			continue
+		}
+		if p.now-max(h.heardAt, p.cfg.Since) > silentAfter {
+			p.removeHost(h)
+			continue
+		}
+		p.lapse(h)
+	}
+}
+
+// HostIDs returns the upstreams that the holder looks after.
+func (p *Planner) HostIDs() []unit.Upstream {
+	ids := make([]unit.Upstream, 0, len(p.hosts))
+	for id := range p.hosts {
+		ids = append(ids, id)
+	}
+	return ids
+}
--- /dev/null
+++ b/planner/job.go
@@ -0,0 +1,198 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// retryUnconfigured is when to come back while there is no configuration yet.
+const retryUnconfigured = 1 * clock.Second
+
+// Handle takes a request; reply is called once the answer may be given.
+func (p *Planner) Handle(now clock.Millis, r Request, reply func(Reply)) {
+	p.now = max(p.now, now)
+	settle := func(a Reply) { p.effect(Settle{Reply: func() { reply(a) }}) }
+	switch r := r.(type) {
+	case Submit:
+		settle(p.submit(r))
+	case Inspect:
+		settle(p.inspect(r))
+	case Cancel:
+		settle(p.cancel(r))
+	case Count:
+		settle(p.count(r))
+	case PutConfig:
+		settle(p.putConfig(r))
+	case GetConfig:
+		settle(p.getConfig())
+	case Announce:
+		p.Report(now, Report{Upstream: r.Upstream, Clock: r.Clock, Seq: r.Seq, Remaining: r.Remaining}, func() { reply(Reply{}) })
+	case Goodbye:
+		p.Leave(now, r.ID, func() { reply(Reply{}) })
+	case Attend:
+		if r.Advises {
+			p.attend(r.From)
+		}
+		settle(Reply{Bounds: p.state.Config.Bounds})
+	default:
+		settle(Reply{Code: Invalid, Why: fmt.Sprintf("a request of type %T", r)})
+	}
+}
+
+// admit finds the queue and the account of a caller's request.
+func (p *Planner) admit(to Address) (*keeper.QueueRoute, unit.ClientAccount, Reply) {
+	c := &p.state.Config
+	if c.Version == 0 {
+		return nil, "", Reply{Code: Unavailable, Why: "there is no configuration yet", RetryAfter: retryUnconfigured}
+	}
+	route, ok := c.Route(to.Host, to.Path)
+	if !ok {
+		return nil, "", Reply{Code: NoQueue, Why: "no queue has this host and path"}
+	}
+	account, known := c.AccountOf(to.Key)
+	if known {
+		return route, account.Name, Reply{}
+	}
+	if route.Open {
+		return route, "", Reply{}
+	}
+	return nil, "", Reply{Code: Unauthorized, Why: "no account has this key"}
+}
+
+// isJob reports whether a request's path names a job of the queue.
+func isJob(route *keeper.QueueRoute, to Address, id keeper.JobID) bool {
+	return len(id) == idLength && to.Path == route.PathPrefix+string(id)
+}
+
+// idLength is the number of digits of a job's id.
+const idLength = 16
+
+func (p *Planner) submit(r Submit) Reply {
+	route, account, refusal := p.admit(r.To)
+	if route == nil {
+		return refusal
+	}
+	if !isJob(route, r.To, r.ID) {
+		return Reply{Code: Invalid, Why: "the path doesn't end with a job's id"}
+	}
+	if p.state.Jobs[r.ID] != nil {
+		return Reply{}
+	}
+	if why := checkWork(r.Work); why != "" {
+		return Reply{Code: Invalid, Why: why}
+	}
+	p.record(keeper.AcceptJob{ID: r.ID, Account: account, Queue: route.Queue, Work: r.Work, At: p.now})
+	p.open(p.state.Jobs[r.ID])
+	p.dirty = true
+	return Reply{}
+}
+
+// Bounds of a job.
+const (
+	maxSteps = 1000
+	maxTasks = 100000
+)
+
+// checkWork returns why a submission makes no sense; empty if it does.
+func checkWork(w keeper.Submission) string {
+	if len(w.Steps) == 0 || len(w.Steps) > maxSteps {
+		return fmt.Sprintf("a job has 1 to %d steps", maxSteps)
+	}
+	tasks := 0
+	for i, s := range w.Steps {
+		if s.Count < 1 || s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 || s.AntiAffinity < 0 {
+			return fmt.Sprintf("step %d has no tasks or a negative amount", i)
+		}
+		if tasks += s.Count; tasks > maxTasks {
+			return fmt.Sprintf("a job has at most %d tasks", maxTasks)
+		}
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return fmt.Sprintf("step %d depends on step %d, which isn't an earlier one", i, d)
+			}
+		}
+	}
+	if w.Repeat < 0 || w.Repeat > 0 && w.Interval < 0 {
+		return "the times of the job are negative"
+	}
+	return ""
+}
+
+func (p *Planner) inspect(r Inspect) Reply {
+	if route, _, refusal := p.admit(r.To); route == nil {
+		return refusal
+	}
+	j := p.state.Jobs[r.ID]
+	if j == nil {
+		return Reply{Code: Gone, Why: "no such job"}
+	}
+	return Reply{Phase: j.Phase}
+}
+
+func (p *Planner) cancel(r Cancel) Reply {
+	if route, _, refusal := p.admit(r.To); route == nil {
+		return refusal
+	}
+	j := p.state.Jobs[r.ID]
+	if j == nil {
+		return Reply{Code: Gone, Why: "no such job"}
+	}
+	if !j.Phase.IsFinal() {
+		p.endJob(j, keeper.Cancelled)
+	}
+	return Reply{Phase: j.Phase}
+}
+
+// endJob ends a job and stops what it runs.
+func (p *Planner) endJob(j *keeper.Job, phase keeper.Phase) {
+	for k, o := range j.Occurrences {
+		for i, st := range o.Steps {
+			for x, t := range st.Tasks {
+				p.stopAll(keeper.TaskID{Job: j.ID, Occurrence: k, Step: i, Index: x}, t)
+			}
+		}
+	}
+	p.record(keeper.EndJob{ID: j.ID, Phase: phase, At: p.now})
+	p.closeJob(j.ID)
+}
+
+func (p *Planner) stopAll(id keeper.TaskID, t *keeper.Task) {
+	for _, l := range t.Live {
+		if r := p.runs[keeper.RunKey{Task: id, Number: l.Number}]; r != nil {
+			r.stopWanted, r.stopAt = true, p.now
+			p.sweepAt = p.now
+		}
+	}
+}
+
+func (p *Planner) count(r Count) Reply {
+	route, _, refusal := p.admit(r.To)
+	if route == nil {
+		return refusal
+	}
+	n := 0
+	for _, j := range p.state.Jobs {
+		if j.Phase == keeper.Queued && j.Queue.Name == route.Queue.Name {
+			n++
+		}
+	}
+	return Reply{Pending: n}
+}
+
+func (p *Planner) putConfig(r PutConfig) Reply {
+	if r.Config.Version > p.state.Config.Version {
+		p.record(keeper.SetConfig{Config: r.Config})
+		p.dirty = true
+	}
+	return Reply{}
+}
+
+func (p *Planner) getConfig() Reply {
+	if p.state.Config.Version == 0 {
+		return Reply{Code: Unavailable, Why: "there is no configuration yet", RetryAfter: retryUnconfigured}
+	}
+	return Reply{Document: p.state.Config.Document}
+}
--- /dev/null
+++ b/planner/look.go
@@ -0,0 +1,160 @@
+package planner
+
+import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Look is the order that extends an upstream's lease and asks what runs there.
+type Look struct {
+	To Target
+	// Noted is the last end that is durably noted.
+	Noted   int64
+	Expires clock.Millis
+	// Wait is how long the upstream may wait for an end before it answers.
+	Wait clock.Millis
+}
+
+// lookWait is how long an upstream may wait for an end; the platform's bound.
+const lookWait = 2 * clock.Second
+
+// NextLook returns the next look at an upstream; false if there is nothing to
+// look at any more. The driver calls it only when all commands that were handed
+// out are committed, since Noted makes the upstream forget.
+func (p *Planner) NextLook(now clock.Millis, id unit.Upstream) (Look, bool) {
+	p.now = max(p.now, now)
+	h := p.hosts[id]
+	if h == nil {
+		return Look{}, false
+	}
+	l := Look{To: h.target(), Noted: h.Noted, Expires: h.lease(p.now, p.cfg.MaxHold)}
+	if h.claimed && !h.failing {
+		l.Wait = lookWait
+	}
+	return l, true
+}
+
+// Seen is an upstream's answer to a look.
+type Seen struct {
+	Life  keeper.Life
+	Clock clock.Millis
+	Runs  []SeenRun
+	Ends  []SeenEnd
+}
+
+// SeenRun is a run that an upstream lists.
+type SeenRun struct {
+	Run        keeper.RunKey
+	Checkpoint string
+	// Percent is how far the run is.
+	Percent int
+}
+
+// SeenEnd is an end that an upstream lists, under its number.
+type SeenEnd struct {
+	Number     int64
+	Run        keeper.RunKey
+	How        keeper.How
+	Checkpoint string
+}
+
+// Looked takes the answer to a look that was sent at sentAt.
+func (p *Planner) Looked(now, sentAt clock.Millis, to Target, s Seen) {
+	p.now = max(p.now, now)
+	h := p.hosts[to.ID]
+	if h == nil || h.Life != to.Life {
+		return
+	}
+	if s.Life != 0 && s.Life != h.Life {
+		if s.Life > h.Life {
+			// The next report describes the new life; nothing is started there
+			// before it.
+			p.removeHost(h)
+		}
+		return
+	}
+	first := !h.claimed
+	h.claimed, h.failing = true, false
+	h.hear(p.now, s.Clock)
+	for _, e := range s.Ends {
+		p.seeEnd(h, e)
+	}
+	listed := make(map[keeper.RunKey]bool, len(s.Runs))
+	for _, r := range s.Runs {
+		listed[r.Run] = true
+		p.seeRun(h, r)
+	}
+	p.endUnlisted(h, listed, sentAt, first)
+	p.dirty = true
+}
+
+func (p *Planner) seeEnd(h *host, e SeenEnd) {
+	if e.Number <= h.Noted {
+		return
+	}
+	r := p.runs[e.Run]
+	if r == nil || r.host != h.ID || r.stray {
+		p.record(keeper.NoteEnds{Upstream: h.ID, Life: h.Life, Noted: e.Number})
+		return
+	}
+	if r.life != h.Life {
+		// A late order was carried out in the upstream's new life.
+		p.record(keeper.NoteEnds{Upstream: h.ID, Life: h.Life, Noted: e.Number})
+	}
+	p.endRun(r, e.How, e.Checkpoint, e.Number)
+}
+
+func (p *Planner) seeRun(h *host, s SeenRun) {
+	r := p.runs[s.Run]
+	if r == nil || r.host != h.ID {
+		// Nobody counts on this run: its job was forgotten, or an order that
+		// was given up has been carried out late.
+		r = &run{key: s.Run, host: h.ID, life: h.Life, stray: true, stopWanted: true, stopAt: p.now}
+		p.runs[s.Run] = r
+		return
+	}
+	if r.stray {
+		return
+	}
+	if r.ackedAt == 0 {
+		r.ackedAt = p.now
+	}
+	r.watch(p.now, s)
+}
+
+// endUnlisted ends the runs that the upstream lists neither as running nor as
+// ended, if they can't come any more: their start was answered before the look
+// was sent, or the claim or an answered stop rules them out.
+func (p *Planner) endUnlisted(h *host, listed map[keeper.RunKey]bool, sentAt clock.Millis, first bool) {
+	for key := range h.Runs {
+		r := p.runs[key]
+		if r == nil || listed[key] {
+			continue
+		}
+		ruledOut := r.inherited && (first || r.life == h.Life)
+		answered := r.ackedAt > 0 && r.ackedAt < sentAt
+		stopped := r.stoppedAt > 0 && r.stoppedAt < sentAt
+		if ruledOut || answered || stopped {
+			p.endRun(r, keeper.Lost, "", 0)
+		}
+	}
+	for key, r := range p.runs {
+		if r.stray && r.host == h.ID && !listed[key] {
+			delete(p.runs, key)
+		}
+	}
+}
+
+// LookFailed takes a look without a sound answer. life: another life answered.
+func (p *Planner) LookFailed(now clock.Millis, to Target, life bool) {
+	p.now = max(p.now, now)
+	h := p.hosts[to.ID]
+	if h == nil || h.Life != to.Life {
+		return
+	}
+	h.failing = true
+	if life {
+		p.removeHost(h)
+	}
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,141 @@
+// Package planner decides, on the holder of a scheduling domain, which task
+// starts where and when.
+//
+// A Planner is a state machine without goroutines, clock or files. The driver
+// tells it what happened (a submission, an upstream's report, the answer to an
+// order) and takes what it decided: commands for the replicated log, and
+// effects that may be carried out once all commands up to them are committed.
+// The Planner's keeper.State runs ahead of the log by the commands that it has
+// handed out.
+//
+// What a new holder knows at first is in the state: every live run. It claims
+// each upstream with its fencing token before it starts anything there, and
+// learns from the answer which of the runs exist. A run without an answer to
+// its start stays live until the upstream has answered a stop, or until its
+// lease there has surely lapsed.
+package planner
+
+import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// Config configures a Planner.
+type Config struct {
+	// Token fences the holder's orders: it is higher than any former holder's.
+	Token uint64
+	// Since is when the holder took over.
+	Since clock.Millis
+	// MaxHold bounds a lease on an upstream.
+	MaxHold clock.Millis
+	// Retention is how long an ended job can be asked for.
+	Retention clock.Millis
+	// EarlyStart is how long before its time an occurrence may start.
+	EarlyStart clock.Millis
+}
+
+// Planner is the holder's view of the domain.
+type Planner struct {
+	cfg   Config
+	state *keeper.State
+	now   clock.Millis
+
+	hosts    map[unit.Upstream]*host
+	runs     map[keeper.RunKey]*run
+	steps    map[keeper.StepID]*step
+	byJob    map[keeper.JobID][]*step
+	waiting  []*step
+	timed    map[keeper.JobID]int
+	advisers map[unit.Instance]*adviser
+
+	// dirty: something has changed that may let a waiting step start.
+	dirty    bool
+	sweepAt  clock.Millis
+	commands []keeper.Command
+	effects  []Effect
+}
+
+// New returns a planner over a state that holds all that was committed before
+// the holder took over.
+func New(c Config, state *keeper.State) *Planner {
+	p := &Planner{
+		cfg: c, state: state, now: c.Since,
+		hosts:    map[unit.Upstream]*host{},
+		runs:     map[keeper.RunKey]*run{},
+		steps:    map[keeper.StepID]*step{},
+		byJob:    map[keeper.JobID][]*step{},
+		timed:    map[keeper.JobID]int{},
+		advisers: map[unit.Instance]*adviser{},
+		dirty:    true,
+	}
+	for id, h := range state.Hosts {
+		p.hosts[id] = newHost(h, c)
+		for key, held := range h.Runs {
+			p.runs[key] = &run{key: key, host: id, life: held.Life, inherited: true, at: held.At}
+		}
+	}
+	for _, j := range state.Jobs {
+		if !j.Phase.IsFinal() {
+			p.open(j)
+		}
+	}
+	return p
+}
+
+// State returns the planner's state, for reading.
+func (p *Planner) State() *keeper.State { return p.state }
+
+// Token returns the fencing token of the holder's orders.
+func (p *Planner) Token() uint64 { return p.cfg.Token }
+
+// Take returns what was decided since the last call.
+func (p *Planner) Take() ([]keeper.Command, []Effect) {
+	c, e := p.commands, p.effects
+	p.commands, p.effects = nil, nil
+	return c, e
+}
+
+// record applies a command to the state and hands it out.
+func (p *Planner) record(c keeper.Command) {
+	p.state.Do(c)
+	p.commands = append(p.commands, c)
+}
+
+func (p *Planner) effect(e Effect) { p.effects = append(p.effects, e) }
+
+// sweepEvery is the time between two looks for what time alone changes: leases
+// that have lapsed, orders to repeat, occurrences that are due.
+const sweepEvery = 50 * clock.Millisecond
+
+// Tick looks for what time alone changes and starts what can start.
+func (p *Planner) Tick(now clock.Millis) {
+	p.now = max(p.now, now)
+	if p.now >= p.sweepAt {
+		p.sweepAt = p.now + sweepEvery
+		p.sweepHosts()
+		p.sweepRuns()
+		p.openDue()
+		p.forget()
+		p.dirty = true
+	}
+	if p.dirty {
+		p.dirty = false
+		p.plan()
+	}
+}
+
+// forgetBatch bounds the jobs that are dropped in one sweep.
+const forgetBatch = 50
+
+func (p *Planner) forget() {
+	n := 0
+	for id, j := range p.state.Jobs {
+		if j.Phase.IsFinal() && j.Live == 0 && p.now-j.EndedAt > p.cfg.Retention {
+			p.record(keeper.ForgetJob{ID: id})
+			if n++; n == forgetBatch {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/planner/run.go
@@ -0,0 +1,218 @@
+package planner
+
+import (
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// run is what the holder knows of a live run beyond the state.
+type run struct {
+	key  keeper.RunKey
+	host unit.Upstream
+	life keeper.Life
+	at   clock.Millis
+	// inherited: a former holder ordered it.
+	inherited bool
+	// stray: the run isn't in the state; it only has to be stopped.
+	stray bool
+	// sentAt is when the order to start was last handed out.
+	sentAt  clock.Millis
+	ackedAt clock.Millis
+	// unanswered: the start may be carried out later.
+	unanswered   bool
+	unansweredAt clock.Millis
+	stopWanted   bool
+	stopAt       clock.Millis
+	stopPending  bool
+	stoppedAt    clock.Millis
+	checkpoint   string
+	percent      int
+	movedAt      clock.Millis
+}
+
+// isDoubtful reports whether the start may still be carried out.
+func (r *run) isDoubtful() bool { return r.ackedAt == 0 && !r.inherited }
+
+// watch notes how far a run is.
+func (r *run) watch(now clock.Millis, s SeenRun) {
+	if s.Checkpoint != "" {
+		r.checkpoint = s.Checkpoint
+	}
+	if s.Percent != r.percent || r.movedAt == 0 {
+		r.percent, r.movedAt = s.Percent, now
+	}
+}
+
+const (
+	// doubtWait is how long an unanswered start may show up in a look before
+	// it is stopped.
+	doubtWait = 300 * clock.Millisecond
+	// stopRetry is the time between two orders to stop the same run.
+	stopRetry = 400 * clock.Millisecond
+	// brokenWait is how long the members of a broken gang may take to end by
+	// themselves before they are stopped.
+	brokenWait = 300 * clock.Millisecond
+)
+
+// begin records and orders the start of a task.
+func (p *Planner) begin(s *step, index, number int, h *host, ticket string) {
+	id := s.id.Task(index)
+	p.record(keeper.StartRun{Task: id, Number: number, Upstream: h.ID, Life: h.Life, At: p.now})
+	key := keeper.RunKey{Task: id, Number: number}
+	p.runs[key] = &run{key: key, host: h.ID, life: h.Life, at: p.now, sentAt: p.now}
+	p.effect(Start{
+		Run: key, To: h.target(), Spec: s.job.Work.Spec, Ticket: ticket,
+		Expires: h.lease(p.now, p.cfg.MaxHold), Checkpoint: s.checkpoint(index),
+	})
+}
+
+// Started takes the answer to a start; clockAt is the upstream's clock, if it
+// told it.
+func (p *Planner) Started(now clock.Millis, key keeper.RunKey, to Target, a Answer, clockAt clock.Millis) {
+	p.now = max(p.now, now)
+	if h := p.hosts[to.ID]; h != nil && h.Life == to.Life {
+		h.hear(p.now, clockAt)
+	}
+	r := p.runs[key]
+	if r == nil {
+		return
+	}
+	switch a := a.(type) {
+	case Done:
+		r.ackedAt = p.now
+		r.unanswered = false
+	case Refused:
+		p.refused(r, a.Reason)
+	case Unanswered:
+		if r.ackedAt == 0 {
+			r.unanswered, r.unansweredAt = true, p.now
+			if h := p.hosts[r.host]; h != nil {
+				h.failing = true
+			}
+		}
+	}
+}
+
+// refused ends a run that was surely not started.
+func (p *Planner) refused(r *run, why Refusal) {
+	h := p.hosts[r.host]
+	if h != nil {
+		switch why {
+		case RefusedUnhealthy, RefusedRoom, RefusedLife:
+			// The next look tells whether it can be used again.
+			h.failing = true
+		}
+	}
+	if why == RefusedTicket {
+		p.dropTicket(r.key.Task.StepID(), r.host)
+	}
+	if s := p.steps[r.key.Task.StepID()]; s != nil {
+		s.retryAt = p.now + stepBackoff
+	}
+	p.endRun(r, keeper.Lost, "", 0)
+	p.stopGang(r.key, 0)
+}
+
+// stopGang stops the other members of a gang's run, after a wait.
+func (p *Planner) stopGang(key keeper.RunKey, wait clock.Millis) {
+	j, st, _ := p.state.Task(key.Task)
+	if st == nil || !j.Work.Steps[key.Task.Step].Gang {
+		return
+	}
+	for i, t := range st.Tasks {
+		for _, l := range t.Live {
+			if l.Number != key.Number {
+				continue
+			}
+			if r := p.runs[keeper.RunKey{Task: key.Task.StepID().Task(i), Number: l.Number}]; r != nil && !r.stopWanted {
+				r.stopWanted, r.stopAt = true, p.now+wait
+			}
+		}
+	}
+}
+
+// Stopped takes the answer to a stop.
+func (p *Planner) Stopped(now clock.Millis, key keeper.RunKey, a Answer, clockAt clock.Millis) {
+	p.now = max(p.now, now)
+	r := p.runs[key]
+	if r == nil {
+		return
+	}
+	if h := p.hosts[r.host]; h != nil && h.Life == r.life {
+		h.hear(p.now, clockAt)
+	}
+	r.stopPending = false
+	if _, ok := a.(Done); ok {
+		r.stoppedAt = p.now
+		return
+	}
+	r.stopAt = p.now + stopRetry
+}
+
+// endRun records the end of a run and what follows for its task.
+func (p *Planner) endRun(r *run, how keeper.How, checkpoint string, noted int64) {
+	if checkpoint == "" {
+		checkpoint = r.checkpoint
+	}
+	delete(p.runs, r.key)
+	p.dirty = true
+	if r.stray {
+		return
+	}
+	p.record(keeper.EndRun{
+		Task: r.key.Task, Number: r.key.Number, Upstream: r.host, Life: r.life,
+		How: how, Checkpoint: checkpoint, Noted: noted, At: p.now,
+	})
+	p.learn(r, how)
+	p.follow(r, how)
+}
+
+// follow looks after the task and the job of a run that has ended.
+func (p *Planner) follow(r *run, how keeper.How) {
+	j, st, t := p.state.Task(r.key.Task)
+	if j == nil || j.Phase.IsFinal() || t == nil {
+		p.closeJob(r.key.Task.Job)
+		return
+	}
+	step := &j.Work.Steps[r.key.Task.Step]
+	failures := t.Failures
+	if step.Gang {
+		failures = st.Failures
+		if how != keeper.Done {
+			p.stopGang(r.key, brokenWait)
+		}
+	}
+	if how == keeper.FailedRun && failures >= p.maxAttempts(j) && !step.LongRunning {
+		p.endJob(j, keeper.Failed)
+		return
+	}
+	p.refresh(j, r.key.Task.Occurrence)
+}
+
+// maxAttempts returns the bound of failed runs that is in force for a job.
+func (p *Planner) maxAttempts(j *keeper.Job) int {
+	if q, ok := p.state.Config.QueueByName(j.Queue.Name); ok {
+		return max(q.MaxAttempts, 1)
+	}
+	return max(j.Queue.MaxAttempts, 1)
+}
+
+// sweepRuns repeats orders whose answer is missing.
+func (p *Planner) sweepRuns() {
+	for _, r := range p.runs {
+		if r.unanswered && !r.stopWanted && p.now-r.unansweredAt >= doubtWait && r.ackedAt == 0 {
+			r.stopWanted, r.stopAt = true, p.now
+			p.stopGang(r.key, 0)
+		}
+		if !r.stopWanted || r.stopPending || r.stoppedAt > 0 || p.now < r.stopAt {
+			continue
+		}
+		h := p.hosts[r.host]
+		if h == nil {
+			continue
+		}
+		r.stopPending = true
+		p.effect(Stop{Run: r.key, To: h.target()})
+	}
+}
--- /dev/null
+++ b/planner/step.go
@@ -0,0 +1,227 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+)
+
+// step is a step of an occurrence that has tasks to start.
+type step struct {
+	id   keeper.StepID
+	job  *keeper.Job
+	spec *keeper.Step
+	rank rank
+	// queued: it stands in the planner's waiting list.
+	queued bool
+	closed bool
+	// retryAt holds a step back after its starts went wrong.
+	retryAt clock.Millis
+	advice  *advice
+}
+
+// rank orders the steps that wait.
+type rank struct {
+	priority int
+	deadline clock.Millis
+	id       keeper.StepID
+}
+
+func (a rank) compare(b rank) int {
+	switch {
+	case a.priority != b.priority:
+		return a.priority - b.priority
+	case a.deadline < b.deadline:
+		return -1
+	case a.deadline > b.deadline:
+		return 1
+	case a.id.Job != b.id.Job:
+		if a.id.Job < b.id.Job {
+			return -1
+		}
+		return 1
+	case a.id.Occurrence != b.id.Occurrence:
+		return a.id.Occurrence - b.id.Occurrence
+	}
+	return a.id.Step - b.id.Step
+}
+
+// open takes a job's first steps into the waiting list.
+func (p *Planner) open(j *keeper.Job) {
+	if j.Work.Repeat == 0 {
+		p.refresh(j, 0)
+		return
+	}
+	for k := range j.Occurrences {
+		p.refresh(j, k)
+	}
+	p.timed[j.ID] = 0
+}
+
+// openDue opens the occurrences whose time has come.
+func (p *Planner) openDue() {
+	for id, next := range p.timed {
+		j := p.state.Jobs[id]
+		if j == nil || j.Phase.IsFinal() {
+			delete(p.timed, id)
+			continue
+		}
+		for next < j.Total() && j.DueAt(next) <= p.now+p.cfg.EarlyStart {
+			p.refresh(j, next)
+			next++
+		}
+		if p.timed[id] = next; next >= j.Total() {
+			delete(p.timed, id)
+		}
+	}
+}
+
+// refresh queues the steps of an occurrence that have tasks to start.
+func (p *Planner) refresh(j *keeper.Job, occurrence int) {
+	for i := range j.Work.Steps {
+		id := keeper.StepID{Job: j.ID, Occurrence: occurrence, Step: i}
+		if !p.isReady(j, id) || p.pendingCount(j, id) == 0 {
+			continue
+		}
+		s := p.steps[id]
+		if s == nil {
+			s = p.newStep(j, id)
+			p.steps[id] = s
+			p.byJob[j.ID] = append(p.byJob[j.ID], s)
+		}
+		p.enqueue(s)
+	}
+}
+
+func (p *Planner) newStep(j *keeper.Job, id keeper.StepID) *step {
+	return &step{
+		id: id, job: j, spec: &j.Work.Steps[id.Step],
+		rank: rank{priority: j.Queue.Priority, deadline: p.deadline(j, id.Occurrence), id: id},
+	}
+}
+
+// deadline returns until when an occurrence earns in full, as far as the
+// client's estimates are right.
+func (p *Planner) deadline(j *keeper.Job, occurrence int) clock.Millis {
+	from := j.AcceptedAt
+	if due := j.DueAt(occurrence); due > 0 {
+		from = due
+	}
+	return from + j.Queue.Latency + clock.Millis(j.Queue.Stretch*float64(chain(j.Work.Steps)))
+}
+
+// chain returns the longest chain of estimated work.
+func chain(steps []keeper.Step) clock.Millis {
+	var longest clock.Millis
+	ends := make([]clock.Millis, len(steps))
+	for i, s := range steps {
+		for _, d := range s.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (p *Planner) enqueue(s *step) {
+	if s.queued || s.closed {
+		return
+	}
+	s.queued = true
+	i, _ := slices.BinarySearchFunc(p.waiting, s, func(a, b *step) int { return a.rank.compare(b.rank) })
+	p.waiting = slices.Insert(p.waiting, i, s)
+	p.dirty = true
+}
+
+// isReady reports whether all steps that a step depends on are done.
+func (p *Planner) isReady(j *keeper.Job, id keeper.StepID) bool {
+	depends := j.Work.Steps[id.Step].DependsOn
+	if len(depends) == 0 {
+		return true
+	}
+	o := j.Occurrences[id.Occurrence]
+	if o == nil {
+		return false
+	}
+	for _, d := range depends {
+		if o.Steps[d].Done < len(o.Steps[d].Tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// pending returns the tasks of a step that may be started now. A gang's are all
+// of them or none: it starts anew once every member's run has ended.
+func (p *Planner) pending(s *step) []int {
+	var list []int
+	o := s.job.Occurrences[s.id.Occurrence]
+	for x := range s.spec.Count {
+		if o == nil {
+			list = append(list, x)
+			continue
+		}
+		t := o.Steps[s.id.Step].Tasks[x]
+		switch {
+		case !t.Done && len(t.Live) == 0:
+			list = append(list, x)
+		case s.spec.Gang:
+			return nil
+		}
+	}
+	return list
+}
+
+func (p *Planner) pendingCount(j *keeper.Job, id keeper.StepID) int {
+	s := step{id: id, job: j, spec: &j.Work.Steps[id.Step]}
+	return len(p.pending(&s))
+}
+
+// state returns the step's state; nil before its occurrence has begun.
+func (s *step) state() *keeper.StepState {
+	if o := s.job.Occurrences[s.id.Occurrence]; o != nil {
+		return o.Steps[s.id.Step]
+	}
+	return nil
+}
+
+// nextRun returns the number for the next run of a task; a gang's members share
+// one.
+func (s *step) nextRun(index int) int {
+	st := s.state()
+	switch {
+	case st == nil:
+		return 1
+	case s.spec.Gang:
+		return st.Run + 1
+	}
+	return st.Tasks[index].Run + 1
+}
+
+// checkpoint returns what a task goes on from.
+func (s *step) checkpoint(index int) string {
+	st := s.state()
+	switch {
+	case st == nil || !s.spec.Checkpointing:
+		return ""
+	case s.spec.Gang:
+		return st.Checkpoint
+	}
+	return st.Tasks[index].Checkpoint
+}
+
+// closeJob drops the steps of a job that has ended.
+func (p *Planner) closeJob(id keeper.JobID) {
+	j := p.state.Jobs[id]
+	if j != nil && !j.Phase.IsFinal() {
+		return
+	}
+	for _, s := range p.byJob[id] {
+		s.closed = true
+		delete(p.steps, s.id)
+	}
+	delete(p.byJob, id)
+	delete(p.timed, id)
+}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -32,6 +32,12 @@
 	Self Member
 	// Bootstrap are the first voters of a new group.
 	Bootstrap []unit.Instance
+	// Contacts are instances that may know the group. Unlike Bootstrap they
+	// give no right to form one.
+	Contacts []unit.Instance
+	// Voters is how many voters the group grows to; the number of first voters
+	// if 0.
+	Voters    int
 	Heartbeat clock.Millis
 	Election  clock.Millis
 	// MaxInflight bounds the unanswered messages with entries to a member.
--- a/replicator/form.go
+++ b/replicator/form.go
@@ -46,6 +46,11 @@
 			c.message(Member{Instance: id}, Join{})
 		}
 	}
+	for _, id := range c.config.Contacts {
+		if id != c.config.Self.Instance && !slices.Contains(c.config.Bootstrap, id) {
+			c.message(Member{Instance: id}, Join{})
+		}
+	}
 }
 
 // stepForm handles the messages that are exchanged between instances of which
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -44,6 +44,10 @@
 	Log         LogID
 	// Bootstrap are the first voters of a new group.
 	Bootstrap []unit.Instance
+	// Contacts, Voters and DeadAfter are those of CoreConfig.
+	Contacts  []unit.Instance
+	Voters    int
+	DeadAfter clock.Millis
 	Storage   Storage
 	Transport Transport
 	Machine   Machine
@@ -110,6 +114,9 @@
 	n.core = NewCore(CoreConfig{
 		Self:      Member{c.ID, c.Incarnation},
 		Bootstrap: c.Bootstrap,
+		Contacts:  c.Contacts,
+		Voters:    c.Voters,
+		DeadAfter: c.DeadAfter,
 		Heartbeat: c.Heartbeat,
 		Election:  c.Election,
 		Seed:      c.Seed,
--- a/replicator/upkeep.go
+++ b/replicator/upkeep.go
@@ -23,7 +23,7 @@
 
 // knownInstances returns everyone who may know the leader.
 func (c *Core) knownInstances() []unit.Instance {
-	ids := slices.Clone(c.config.Bootstrap)
+	ids := slices.Concat(c.config.Bootstrap, c.config.Contacts)
 	for _, m := range slices.Concat(c.hard.Base.Voters, c.log.membership().membership.Voters) {
 		ids = append(ids, m.Instance)
 	}
@@ -81,7 +81,7 @@
 	if old, ok := ms.voterOf(l.Instance); ok {
 		return c.removeSilent(ms, old, goneAfter*c.config.Election)
 	}
-	if len(ms.Voters) < len(c.hard.Base.Voters) {
+	if len(ms.Voters) < max(c.config.Voters, len(c.hard.Base.Voters)) {
 		return ms.promoted(l), true
 	}
 	for _, v := range ms.Voters {
--- /dev/null
+++ b/runner/domain.go
@@ -0,0 +1,338 @@
+package runner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/driver"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/forwarder"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/loader"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/platform"
+	"github.com/chervilvane/chervilvane/recorder"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// domainHeartbeat and domainElection are the log's timing. An election
+	// timeout is several round trips and syncs of a disk that is slow, and
+	// bounds the time without a holder.
+	domainHeartbeat = 75 * clock.Millisecond
+	domainElection  = 600 * clock.Millisecond
+	// domainDeadAfter is for how long a voter must be silent before a standby
+	// takes its place: longer than a restart takes.
+	domainDeadAfter = 4 * clock.Second
+	// memoryShare is the part of the process's memory limit, in percent, that
+	// the collector keeps the heap under.
+	memoryShare = 70
+	// entryDrain is how long an entry goes on after ready turned false: the
+	// balancer needs two misses, one a second, to stop sending.
+	entryDrain = 2600 * clock.Millisecond
+	// stopReserve is kept of the platform's grace for the end of the process.
+	stopReserve = 700 * clock.Millisecond
+	// readyWithin is how recently the holder must have answered for an entry
+	// to be ready.
+	readyWithin = 1500 * clock.Millisecond
+	// domainHeaderTimeout and domainIdleTimeout bound clients' connections.
+	domainHeaderTimeout = 3 * clock.Second
+	domainIdleTimeout   = 60 * clock.Second
+)
+
+// methodLog carries the log's messages on the domain's mesh.
+const methodLog instance.Method = "log.message"
+
+// runPlatform runs an instance of a domain under the platform's settings.
+func runPlatform(ctx context.Context, stderr io.Writer) error {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return &usageError{err}
+	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryLimit) * memoryShare / 100)
+	}
+	return Run(ctx, newDomain(settings, stderr))
+}
+
+// newDomain returns an instance of a domain as an fx application.
+func newDomain(settings platform.Settings, logTo io.Writer) *fx.App {
+	return fx.New(
+		fx.Supply(settings, clock.Clock{}, domainOutput{logger.NewBounded(logTo)}),
+		fx.Provide(
+			newDomainLogger, newMeter, newDomainMesh, newDomainOrders, newDomainForwarder,
+			newHealth, newDomainCore, newDomainServers,
+		),
+		fx.Invoke(runDomain),
+		fx.StopTimeout((settings.Grace + stopReserve).Duration()),
+		fx.WithLogger(func(l *logrus.Logger) fxevent.Logger { return quietEvents{l} }),
+	)
+}
+
+// domainOutput is where the log goes.
+type domainOutput struct{ *logger.Bounded }
+
+func newDomainLogger(s platform.Settings, out domainOutput) (*logrus.Logger, logrus.FieldLogger) {
+	l := logger.New(loader.Log{Level: "Info"}, out)
+	logger.CaptureStandard(l)
+	return l, l.WithFields(logrus.Fields{logger.FieldInstance: s.Name, logger.FieldZone: s.AvailabilityZone})
+}
+
+func newDomainMesh(s platform.Settings, l logrus.FieldLogger, m tally.Scope) (*instance.TCP, error) {
+	return instance.NewTCP(instance.TCPConfig{Listen: s.MeshAddress, Logger: l, Metrics: m})
+}
+
+func newDomainOrders(s platform.Settings, l logrus.FieldLogger) *platform.Orders {
+	return platform.NewOrders(s.AdviceAddress, l)
+}
+
+func newDomainForwarder(s platform.Settings, mesh *instance.TCP, clk clock.Clock, l logrus.FieldLogger, o *platform.Orders) *forwarder.Forwarder {
+	mesh.Handle(driver.MethodAdvise, func(ctx context.Context, _ unit.Instance, body []byte) ([]byte, error) {
+		var q driver.AdviceQuestion
+		if err := encoder.Unmarshal(body, &q); err != nil {
+			return nil, err
+		}
+		a, err := o.Advise(ctx, q)
+		if err != nil {
+			return nil, err
+		}
+		return encoder.Marshal(a), nil
+	})
+	return forwarder.New(forwarder.Config{
+		Self: mesh.Self(), Contacts: s.Contacts, Mesh: mesh, Clock: clk, Logger: l,
+		Advises: s.AdviceAddress != "" && s.DataFolder == "",
+	})
+}
+
+// domainCore is the part of an instance with a disk; its fields are nil on any
+// other.
+type domainCore struct {
+	node    *replicator.Node
+	storage *recorder.Recorder
+	driver  *driver.Driver
+}
+
+func newDomainCore(s platform.Settings, mesh *instance.TCP, o *platform.Orders, clk clock.Clock, l logrus.FieldLogger, m tally.Scope) (*domainCore, error) {
+	if s.DataFolder == "" {
+		return &domainCore{}, nil
+	}
+	storage, err := recorder.Open(filepath.Join(s.DataFolder, "domain"), recorder.Disk{}, recorder.Options{})
+	if err != nil {
+		return nil, err
+	}
+	state := keeper.New()
+	c := replicator.Config{
+		ID: mesh.Self(), Incarnation: storage.Incarnation(), Log: "domain",
+		Contacts: s.Contacts, Voters: 2*s.TolerateInstances + 1, DeadAfter: domainDeadAfter,
+		Storage: storage, Transport: logTransport{mesh}, Machine: state, Clock: clk,
+		Heartbeat: domainHeartbeat, Election: domainElection, Seed: uint64(clk.Now()), Logger: l,
+	}
+	if s.FirstStart {
+		c.Bootstrap = s.Contacts
+	}
+	node, err := replicator.New(c)
+	if err != nil {
+		return nil, errors.CombineErrors(err, storage.Close())
+	}
+	d := driver.New(driver.Config{
+		Self: mesh.Self(), Log: node, State: state, Upstreams: o, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
+		Planner: planner.Config{MaxHold: s.MaxHold, Retention: s.Retention, EarlyStart: s.EarlyStart},
+	})
+	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
+		node.Step(from, body)
+		return nil, nil
+	})
+	mesh.Handle(driver.MethodRequest, d.Serve)
+	return &domainCore{node, storage, d}, nil
+}
+
+// logTransport sends the log's messages over the mesh.
+type logTransport struct{ mesh *instance.TCP }
+
+// Send implements replicator.Transport.
+func (t logTransport) Send(to unit.Instance, message []byte) { t.mesh.Send(to, methodLog, message) }
+
+// domainServers are the HTTP interfaces of an instance.
+type domainServers struct {
+	servers []*httpServer
+	// closing asks clients to come back on another connection.
+	closing atomic.Bool
+}
+
+func newDomainServers(s platform.Settings, f *forwarder.Forwarder, clk clock.Clock, m meterPage) (*domainServers, error) {
+	d := &domainServers{}
+	if s.ClientAddress != "" {
+		d.add(s.ClientAddress, d.withClose(platform.NewEntry(f)))
+	}
+	if s.ReadyAddress != "" {
+		routes := mux.NewRouter()
+		platform.RegisterReady(routes, func() bool {
+			return !d.closing.Load() && clk.Now()-f.ReachedAt() < readyWithin
+		})
+		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
+		d.add(s.ReadyAddress, routes)
+	}
+	if s.ControlAddress != "" {
+		c, err := platform.NewControl(f, s.ControlAddress)
+		if err != nil {
+			return nil, err
+		}
+		routes := mux.NewRouter()
+		c.Register(routes)
+		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
+		d.add(s.ControlAddress, d.withClose(routes))
+	}
+	return d, nil
+}
+
+func (d *domainServers) add(address string, h http.Handler) {
+	d.servers = append(d.servers, &httpServer{server: &http.Server{
+		Addr: address, Handler: h, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: domainHeaderTimeout.Duration(), IdleTimeout: domainIdleTimeout.Duration(),
+	}})
+}
+
+// withClose answers on a connection for the last time while the instance shuts
+// down.
+func (d *domainServers) withClose(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// domain holds what runDomain starts and stops.
+type domain struct {
+	fx.In
+
+	Settings   platform.Settings
+	Output     domainOutput
+	Mesh       *instance.TCP
+	Forwarder  *forwarder.Forwarder
+	Core       *domainCore
+	Servers    *domainServers
+	Logger     logrus.FieldLogger
+	Shutdowner fx.Shutdowner
+}
+
+func runDomain(lc fx.Lifecycle, d domain) {
+	ctx, cancel := context.WithCancel(context.Background())
+	logs, endLogs := context.WithCancel(context.Background())
+	var output errgroup.Group
+	group, ctx := errgroup.WithContext(ctx)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			output.Go(func() error { return d.Output.Run(logs) })
+			group.Go(func() error { return d.reload(ctx) })
+			for _, p := range d.parts() {
+				group.Go(func() error { return d.runPart(ctx, p) })
+			}
+			for _, s := range d.Servers.servers {
+				if err := s.listen(); err != nil {
+					return err
+				}
+				group.Go(s.serve)
+			}
+			d.Logger.WithFields(logrus.Fields{
+				"Mesh": d.Settings.MeshAddress, "Contacts": d.Settings.Contacts, "FirstStart": d.Settings.FirstStart,
+			}).Info("instance started")
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			d.shutDown(stop)
+			cancel()
+			err := group.Wait()
+			d.Logger.Info("instance stopped")
+			endLogs()
+			return errors.CombineErrors(err, output.Wait())
+		},
+	})
+}
+
+func (d domain) parts() parts {
+	all := parts{{"mesh", d.Mesh.Run}, {"forwarder", d.Forwarder.Run}}
+	if d.Core.node != nil {
+		all = append(all,
+			part{"log", func(ctx context.Context) error {
+				return errors.CombineErrors(d.Core.node.Run(ctx), d.Core.storage.Close())
+			}},
+			part{"driver", d.Core.driver.Run})
+	}
+	return all
+}
+
+func (d domain) runPart(ctx context.Context, p part) error {
+	err := p.run(ctx)
+	if err == nil || ctx.Err() != nil {
+		return nil
+	}
+	d.Logger.WithError(err).WithField("Part", p.name).Error("a part failed; the instance stops")
+	return errors.CombineErrors(errors.Wrap(err, p.name), d.Shutdowner.Shutdown(fx.ExitCode(1)))
+}
+
+// reload reads the settings anew when the platform asks for it; only the
+// contacts can change while the process runs.
+func (d domain) reload(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+		}
+		s, err := platform.LoadSettings()
+		if err != nil {
+			d.Logger.WithError(err).Error("the settings can't be read again; the former ones stay")
+			continue
+		}
+		d.Forwarder.SetContacts(s.Contacts)
+		d.Logger.WithField("Contacts", s.Contacts).Info("settings reloaded")
+	}
+}
+
+// shutDown ends the requests in progress and hands the log's leadership over.
+func (d domain) shutDown(stop context.Context) {
+	d.Logger.Info("shutting down")
+	d.Servers.closing.Store(true)
+	ctx, cancel := context.WithTimeout(stop, (d.Settings.Grace - stopReserve).Duration())
+	defer cancel()
+	if d.Core.node != nil {
+		if err := d.Core.node.Transfer(ctx); err != nil {
+			d.Logger.WithError(err).Warn("the log's leadership was not handed over")
+		}
+	}
+	if d.Settings.ClientAddress != "" {
+		// An end of the wait by the deadline changes nothing: the steps go on.
+		_ = clock.Sleep(ctx, entryDrain)
+	}
+	var g errgroup.Group
+	for _, s := range d.Servers.servers {
+		g.Go(func() error { return s.shutdown(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		d.Logger.WithError(err).Warn("shutdown left requests behind")
+	}
+}
--- a/runner/main.go
+++ b/runner/main.go
@@ -43,6 +43,7 @@
 	flags.SetOutput(stderr)
 	settingsFile := flags.String("settings", "", "the instance's settings `FILE` (YAML)")
 	dev := flags.Bool("dev", false, "run one instance with a temporary data folder, a stand-in upstream and a sample text")
+	onPlatform := flags.Bool("platform", false, "run an instance of a scheduling domain under the platform's settings")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("CHERVILVANED")); err != nil {
 		return &usageError{err}
@@ -50,6 +51,9 @@
 	if *dev {
 		return runDev(ctx, stderr)
 	}
+	if *onPlatform {
+		return runPlatform(ctx, stderr)
+	}
 	settings, err := load(*settingsFile, stderr)
 	if err != nil || *check {
 		return err
