planner: order waiting steps by what they can still earn

Ruled out: want of advice (0 to 3 steps without any), want of quota. Change: steps rank by tier (in time, late, worthless), then priority, then deadline; times are predicted from the clients' estimates and the runs seen. A status line each 2 s shows what waits. Gangs still wait for whole upstreams to empty.

--- a/driver/log.go
+++ b/driver/log.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// logStatus writes a line on the domain and one for each queue that waits.
+func (s *session) logStatus(st planner.Status) {
+	s.log.WithFields(logrus.Fields{
+		"Upstreams": st.Upstreams, "Usable": st.Usable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
+		"Runs": st.Runs, "Advisers": st.Advisers, "BusyAdvisers": st.BusyAdvisers,
+	}).Info("domain status")
+	for name, q := range st.Queues {
+		s.log.WithFields(logrus.Fields{
+			"Queue": name, "Steps": q.Steps, "Tasks": q.Tasks, "MilliCPU": q.CPU, "Late": q.Late,
+			"Unadvised": q.Unadvised, "OldestMillis": int64(q.Oldest),
+		}).Info("work waits")
+	}
+}
+
 // logReply writes a line for a request that was refused.
 func (s *session) logReply(r planner.Request, a planner.Reply) {
 	if a.Code == planner.OK {
--- a/driver/session.go
+++ b/driver/session.go
@@ -78,6 +78,7 @@
 func (s *session) start() {
 	s.group.Go(s.runPlanner)
 	s.group.Go(s.runCommits)
+	s.group.Go(s.runStatus)
 }
 
 // end ends the session and returns once its goroutines have ended.
@@ -158,6 +159,19 @@
 	}
 }
 
+// statusEvery is the time between two lines on what waits and why.
+const statusEvery = 2 * clock.Second
+
+func (s *session) runStatus() error {
+	clock.Every(s.ctx, statusEvery, func() {
+		s.mu.Lock()
+		st := s.planner.Status()
+		s.mu.Unlock()
+		s.logStatus(st)
+	})
+	return nil
+}
+
 // runCommits commits one batch at a time; what is decided meanwhile is the next
 // one.
 func (s *session) runCommits() error {
--- a/planner/learn.go
+++ b/planner/learn.go
@@ -45,4 +45,8 @@
 	if h := p.hosts[r.host]; h != nil && h.Life == r.life {
 		h.record.note(p.now, how)
 	}
+	j := p.state.Jobs[r.key.Task.Job]
+	if how == keeper.Done && r.ackedAt > 0 && !r.inherited && !r.resumed && j != nil && len(j.Work.Steps) > 0 {
+		p.forecastOf(j).see(j.Work.Steps[r.key.Task.Step].Estimate, p.now-r.ackedAt)
+	}
 }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -19,6 +19,7 @@
 	for _, h := range p.hosts {
 		h.booked = unit.Resources{}
 	}
+	p.order()
 	bookings := 0
 	kept := p.waiting[:0]
 	for _, s := range p.waiting {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -50,6 +50,8 @@
 	waiting  []*step
 	timed    map[keeper.JobID]int
 	advisers map[unit.Instance]*adviser
+	// forecasts are what was learned of each queue's tasks.
+	forecasts map[unit.Queue]*forecast
 
 	// dirty: something has changed that may let a waiting step start.
 	dirty    bool
@@ -63,13 +65,14 @@
 func New(c Config, state *keeper.State) *Planner {
 	p := &Planner{
 		cfg: c, state: state, now: c.Since,
-		hosts:    map[unit.Upstream]*host{},
-		runs:     map[keeper.RunKey]*run{},
-		steps:    map[keeper.StepID]*step{},
-		byJob:    map[keeper.JobID][]*step{},
-		timed:    map[keeper.JobID]int{},
-		advisers: map[unit.Instance]*adviser{},
-		dirty:    true,
+		hosts:     map[unit.Upstream]*host{},
+		runs:      map[keeper.RunKey]*run{},
+		steps:     map[keeper.StepID]*step{},
+		byJob:     map[keeper.JobID][]*step{},
+		timed:     map[keeper.JobID]int{},
+		advisers:  map[unit.Instance]*adviser{},
+		forecasts: map[unit.Queue]*forecast{},
+		dirty:     true,
 	}
 	for id, h := range state.Hosts {
 		p.hosts[id] = newHost(h, c)
--- a/planner/run.go
+++ b/planner/run.go
@@ -18,6 +18,8 @@
 	inherited bool
 	// stray: the run isn't in the state; it only has to be stopped.
 	stray bool
+	// resumed: it goes on from a checkpoint.
+	resumed bool
 	// sentAt is when the order to start was last handed out.
 	sentAt  clock.Millis
 	ackedAt clock.Millis
@@ -70,10 +72,11 @@
 	id := s.id.Task(index)
 	p.record(keeper.StartRun{Task: id, Number: number, Upstream: h.ID, Life: h.Life, At: p.now})
 	key := keeper.RunKey{Task: id, Number: number}
-	p.runs[key] = &run{key: key, host: h.ID, life: h.Life, at: p.now, sentAt: p.now}
+	saved := s.checkpoint(index)
+	p.runs[key] = &run{key: key, host: h.ID, life: h.Life, at: p.now, sentAt: p.now, resumed: saved != ""}
 	p.effect(Start{
 		Run: key, To: h.target(), Spec: s.job.Work.Spec, Ticket: ticket,
-		Expires: h.lease(p.now, p.cfg.MaxHold), Checkpoint: s.checkpoint(index),
+		Expires: h.lease(p.now, p.cfg.MaxHold), Checkpoint: saved,
 	})
 }
 
--- a/planner/step.go
+++ b/planner/step.go
@@ -24,6 +24,7 @@
 
 // rank orders the steps that wait.
 type rank struct {
+	tier     tier
 	priority int
 	deadline clock.Millis
 	id       keeper.StepID
@@ -31,6 +32,8 @@
 
 func (a rank) compare(b rank) int {
 	switch {
+	case a.tier != b.tier:
+		return int(a.tier - b.tier)
 	case a.priority != b.priority:
 		return a.priority - b.priority
 	case a.deadline < b.deadline:
@@ -99,44 +102,30 @@
 func (p *Planner) newStep(j *keeper.Job, id keeper.StepID) *step {
 	return &step{
 		id: id, job: j, spec: &j.Work.Steps[id.Step],
-		rank: rank{priority: j.Queue.Priority, deadline: p.deadline(j, id.Occurrence), id: id},
+		rank: rank{priority: j.Queue.Priority, id: id},
 	}
 }
 
-// deadline returns until when an occurrence earns in full, as far as the
-// client's estimates are right.
-func (p *Planner) deadline(j *keeper.Job, occurrence int) clock.Millis {
-	from := j.AcceptedAt
-	if due := j.DueAt(occurrence); due > 0 {
-		from = due
-	}
-	return from + j.Queue.Latency + clock.Millis(j.Queue.Stretch*float64(chain(j.Work.Steps)))
-}
-
-// chain returns the longest chain of estimated work.
-func chain(steps []keeper.Step) clock.Millis {
-	var longest clock.Millis
-	ends := make([]clock.Millis, len(steps))
-	for i, s := range steps {
-		for _, d := range s.DependsOn {
-			ends[i] = max(ends[i], ends[d])
-		}
-		ends[i] += s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 func (p *Planner) enqueue(s *step) {
 	if s.queued || s.closed {
 		return
 	}
 	s.queued = true
-	i, _ := slices.BinarySearchFunc(p.waiting, s, func(a, b *step) int { return a.rank.compare(b.rank) })
-	p.waiting = slices.Insert(p.waiting, i, s)
+	p.waiting = append(p.waiting, s)
 	p.dirty = true
 }
 
+// order ranks the waiting steps by what they can still earn, then by their
+// queue's priority, then by their deadline.
+func (p *Planner) order() {
+	for _, s := range p.waiting {
+		g := p.goalOf(s.job, s.id.Occurrence)
+		s.rank.deadline = g.deadline()
+		s.rank.tier = g.tier(p.now + p.chain(s.job, s.id.Step))
+	}
+	slices.SortFunc(p.waiting, func(a, b *step) int { return a.rank.compare(b.rank) })
+}
+
 // isReady reports whether all steps that a step depends on are done.
 func (p *Planner) isReady(j *keeper.Job, id keeper.StepID) bool {
 	depends := j.Work.Steps[id.Step].DependsOn
