planner: make room for gangs and urgent tasks

Cause: gangs wait while tasks of less urgent queues fill the gaps on their upstreams; two bookings kept everything free on all upstreams that a gang may use (status lines: 800 to 1,000 of 1,216 cores used with 20 gangs waiting). Change: a step in time claims room by stopping checkpointing tasks of less urgent queues; a booking covers what the gang needs on its emptiest upstreams, for up to four gangs.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -12,7 +12,7 @@
 
 // maxBookings bounds the gangs that wait for room at once. Each of them keeps
 // room free that others could use now.
-const maxBookings = 2
+const maxBookings = 4
 
 // plan starts what can start, in the order of the waiting steps.
 func (p *Planner) plan() {
@@ -193,6 +193,9 @@
 	if len(again) > 0 {
 		p.askAgain(s, again)
 	}
+	if left := min(len(tasks)-i, room); left > 0 {
+		p.makeRoom(s, left)
+	}
 }
 
 func (p *Planner) start(s *step, index int, h *host) {
@@ -215,8 +218,8 @@
 	list := p.candidates(s)
 	chosen, ok := p.fillGang(s, list, len(tasks))
 	if !ok {
-		if bookings < maxBookings {
-			p.bookAll(s)
+		if !p.makeRoom(s, len(tasks)) && bookings < maxBookings && s.rank.tier == inTime {
+			p.bookGang(s, len(tasks))
 			return 1
 		}
 		return 0
@@ -269,14 +272,5 @@
 	return chosen, len(chosen) == n
 }
 
-// bookAll keeps what is free on the upstreams that a gang may run on for it.
-func (p *Planner) bookAll(s *step) {
-	for _, h := range p.hosts {
-		if p.suits(s, h) && s.mayRun(h) {
-			h.booked = h.booked.Add(h.free().Max(unit.Resources{}))
-		}
-	}
-}
-
 // stepBackoff holds a step back whose starts were refused.
 const stepBackoff = 20 * clock.Millisecond
--- /dev/null
+++ b/planner/room.go
@@ -0,0 +1,181 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+const (
+	// claimLife is how long a step keeps the room that it was given: a stop and
+	// the end that follows it take up to about half of it.
+	claimLife = 600 * clock.Millisecond
+	// claimTicket is how long the tickets must still be valid when room is
+	// made; they are asked for anew otherwise, at the same time.
+	claimTicket = 500 * clock.Millisecond
+)
+
+// claim is room on upstreams that a step waits for.
+type claim struct {
+	until clock.Millis
+	tasks []claimed
+}
+
+type claimed struct {
+	host  unit.Upstream
+	count int
+}
+
+// makeRoom claims room for n tasks of a step by stopping tasks of less urgent
+// queues that go on from a checkpoint later. It reports whether there is a
+// claim.
+func (p *Planner) makeRoom(s *step, n int) bool {
+	if s.rank.tier != inTime {
+		return false
+	}
+	if s.claim == nil || p.now >= s.claim.until {
+		s.claim = p.findRoom(s, n)
+	}
+	if s.claim == nil {
+		return false
+	}
+	need := p.state.NeedOf(s.spec)
+	for _, c := range s.claim.tasks {
+		if h := p.hosts[c.host]; h != nil {
+			h.booked = h.booked.Add(times(need, c.count))
+		}
+	}
+	return true
+}
+
+func times(r unit.Resources, n int) unit.Resources {
+	v := r.Vector()
+	for i := range v {
+		v[i] *= int64(n)
+	}
+	return unit.FromVector(v)
+}
+
+// site is an upstream that can have room for a step.
+type site struct {
+	host *host
+	// freeing is what runs that are being stopped will give back.
+	freeing unit.Resources
+	victims []*run
+	count   int
+}
+
+// findRoom chooses upstreams for n tasks and stops what has to give way.
+func (p *Planner) findRoom(s *step, n int) *claim {
+	need := p.state.NeedOf(s.spec)
+	sites := p.sites(s)
+	c := &claim{until: p.now + claimLife}
+	var again []*host
+	for _, x := range sites {
+		k := min(x.count, n)
+		if k == 0 {
+			continue
+		}
+		n -= k
+		c.tasks = append(c.tasks, claimed{x.host.ID, k})
+		if s.job.Queue.Advised && s.advice.good[x.host.ID].until < p.now+claimTicket {
+			again = append(again, x.host)
+		}
+	}
+	if n > 0 {
+		return nil
+	}
+	for i, x := range sites[:len(c.tasks)] {
+		p.stopVictims(x, times(need, c.tasks[i].count))
+	}
+	if len(again) > 0 {
+		p.askAgain(s, again)
+	}
+	return c
+}
+
+// sites returns the upstreams that can have room, those with most of it first.
+func (p *Planner) sites(s *step) []*site {
+	need := p.state.NeedOf(s.spec)
+	perHost := p.spread(s)
+	var list []*site
+	for _, h := range p.hosts {
+		if !p.suits(s, h) || !s.mayRun(h) {
+			continue
+		}
+		x := &site{host: h}
+		room := h.free()
+		for _, key := range h.SortedRuns() {
+			r := p.runs[key]
+			switch {
+			case r == nil:
+			case r.stopWanted:
+				x.freeing = x.freeing.Add(h.Runs[key].Need)
+			case p.mayGiveWay(r, s):
+				x.victims = append(x.victims, r)
+				room = room.Add(h.Runs[key].Need)
+			}
+		}
+		x.count = timesFits(need, room.Add(x.freeing))
+		if s.spec.AntiAffinity > 0 {
+			x.count = min(x.count, s.spec.AntiAffinity-perHost[h.ID])
+		}
+		if x.count > 0 {
+			list = append(list, x)
+		}
+	}
+	slices.SortFunc(list, func(a, b *site) int {
+		return cmp.Or(cmp.Compare(b.host.free().CPU, a.host.free().CPU), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	return list
+}
+
+// mayGiveWay reports whether a run may be stopped for a step: it belongs to a
+// less urgent queue and loses next to nothing.
+func (p *Planner) mayGiveWay(r *run, s *step) bool {
+	j := p.state.Jobs[r.key.Task.Job]
+	if j == nil || j.Phase.IsFinal() || r.ackedAt == 0 || j.Queue.Priority <= s.job.Queue.Priority {
+		return false
+	}
+	spec := &j.Work.Steps[r.key.Task.Step]
+	return spec.Checkpointing && !spec.Gang && !spec.LongRunning
+}
+
+// stopVictims stops the runs that began last, until need fits.
+func (p *Planner) stopVictims(x *site, need unit.Resources) {
+	room := x.host.free().Add(x.freeing)
+	slices.SortFunc(x.victims, func(a, b *run) int { return cmp.Or(cmp.Compare(b.at, a.at), a.key.Compare(b.key)) })
+	for _, r := range x.victims {
+		if need.Fits(room) {
+			return
+		}
+		room = room.Add(x.host.Runs[r.key].Need)
+		r.stopWanted, r.stopAt = true, p.now
+		p.sweepAt = p.now
+	}
+}
+
+// bookGang keeps room for a gang on those of its upstreams that have most of
+// it, as much as the gang needs there.
+func (p *Planner) bookGang(s *step, n int) {
+	need := p.state.NeedOf(s.spec)
+	var list []*host
+	for _, h := range p.hosts {
+		if p.suits(s, h) && s.mayRun(h) {
+			list = append(list, h)
+		}
+	}
+	slices.SortFunc(list, func(a, b *host) int {
+		return cmp.Or(cmp.Compare(b.free().CPU, a.free().CPU), cmp.Compare(a.ID, b.ID))
+	})
+	for _, h := range list {
+		if n <= 0 {
+			return
+		}
+		k := min(timesFits(need, h.Capacity), n)
+		h.booked = h.booked.Add(times(need, k))
+		n -= k
+	}
+}
--- a/planner/step.go
+++ b/planner/step.go
@@ -20,6 +20,8 @@
 	// retryAt holds a step back after its starts went wrong.
 	retryAt clock.Millis
 	advice  *advice
+	// claim is the room that it waits for.
+	claim *claim
 }
 
 // rank orders the steps that wait.
