planner: find runs that stand still and starts without an answer by a look at once

Cause: a task on a hanging upstream was noticed only when its lease was dropped; an unanswered start took 1 s of waiting, a stop and the rest of a long look. Ruled out: waiting for the long look (up to 2 s). Change: a run that takes twice its predicted time is looked at, and stopped if it makes no progress for 400 ms; its upstream gets no new work for 4 s. An unanswered start (400 ms) is looked for at once. Upstreams on which a step's tasks take longer than on others are used last. Two failures in a row quarantine an upstream.

--- a/driver/effect.go
+++ b/driver/effect.go
@@ -14,8 +14,9 @@
 
 const (
 	// orderTimeout bounds a start or a stop; a sound upstream answers within
-	// a round trip.
-	orderTimeout = 1 * clock.Second
+	// a round trip. What becomes of an order without an answer is found out
+	// by a look.
+	orderTimeout = 400 * clock.Millisecond
 	// lookSlack is what a look may take beyond the wait that it asks for.
 	lookSlack = 1 * clock.Second
 	// lookPace is the least time between two looks at an upstream: each of
@@ -40,6 +41,12 @@
 			s.sendStop(e)
 			return nil
 		})
+	case planner.Peek:
+		s.group.Go(func() error {
+			s.look(e.To.ID, false)
+			s.do(func(p *planner.Planner) { p.Peeked(e.To) })
+			return nil
+		})
 	case planner.Advise:
 		s.group.Go(func() error {
 			s.advise(e)
@@ -127,51 +134,68 @@
 // gone.
 func (s *session) lookAfter(id unit.Upstream) {
 	for s.ctx.Err() == nil {
-		s.mu.Lock()
-		look, ok := s.planner.NextLook(s.now(), id)
-		if !ok {
+		pause := lookPace
+		switch s.look(id, true) {
+		case lookGone:
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			delete(s.looked, id)
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		if !s.awaitLease() {
 			return
+		case lookFailed:
+			pause = lookRetry
 		}
-		if s.look(look) {
-			_ = clock.Sleep(s.ctx, lookPace)
-		} else {
-			_ = clock.Sleep(s.ctx, lookRetry)
-		}
+		_ = clock.Sleep(s.ctx, pause)
 	}
 }
 
-// look sends one look and waits until what it told is committed, since the next
-// look lets the upstream forget it.
-func (s *session) look(l planner.Look) bool {
+// lookResult is what became of a look.
+type lookResult int
+
+const (
+	looked lookResult = iota
+	lookFailed
+	// lookGone: the upstream isn't looked after any more.
+	lookGone
+)
+
+// look sends one look. What the look lets the upstream forget is committed
+// before it is sent.
+func (s *session) look(id unit.Upstream, wait bool) lookResult {
+	s.mu.Lock()
+	l, ok := s.planner.NextLook(s.now(), id)
+	committed := s.barrier()
+	s.mu.Unlock()
+	if !ok {
+		return lookGone
+	}
+	if !wait {
+		l.Wait = 0
+	}
+	select {
+	case <-committed:
+	case <-s.ctx.Done():
+		return lookFailed
+	}
+	if !s.awaitLease() {
+		return lookFailed
+	}
+	return s.sendLook(l)
+}
+
+func (s *session) sendLook(l planner.Look) lookResult {
 	ctx, cancel := context.WithTimeout(s.ctx, (l.Wait + lookSlack).Duration())
 	defer cancel()
 	sentAt := s.now()
 	seen, err := s.d.cfg.Upstreams.Look(ctx, uint64(s.term), l)
 	if s.ctx.Err() != nil {
-		return false
+		return lookFailed
 	}
 	s.d.metrics.looks.Inc(1)
 	if err != nil {
 		s.logLook(l, err)
 		s.do(func(p *planner.Planner) { p.LookFailed(s.now(), l.To, errors.Is(err, ErrOtherLife)) })
-		return false
-	}
-	s.mu.Lock()
-	s.planner.Looked(s.now(), sentAt, l.To, seen)
-	s.collect()
-	signal(s.wake)
-	committed := s.barrier()
-	s.mu.Unlock()
-	select {
-	case <-committed:
-		return true
-	case <-s.ctx.Done():
-		return false
+		return lookFailed
 	}
+	s.do(func(p *planner.Planner) { p.Looked(s.now(), sentAt, l.To, seen) })
+	return looked
 }
--- a/planner/host.go
+++ b/planner/host.go
@@ -38,6 +38,8 @@
 	dead bool
 	// leaving: it said goodbye, which may be a late message of a former life.
 	leaving bool
+	// peeking: a look that doesn't wait is under way.
+	peeking bool
 	// heardAt is when clockAt was heard; clockAt was read before that.
 	heardAt clock.Millis
 	clockAt clock.Millis
@@ -184,7 +186,7 @@
 	}
 	h.life = life
 	h.seq = 0
-	h.claimed, h.failing, h.dead = false, false, false
+	h.claimed, h.failing, h.dead, h.peeking = false, false, false, false
 	h.hasTime, h.clockAt, h.expires = false, 0, 0
 	h.lapseAt = p.now + slowed(p.cfg.MaxHold) + lapseMargin
 	h.record = record{}
--- a/planner/learn.go
+++ b/planner/learn.go
@@ -9,7 +9,7 @@
 	// quarantineAfter is how many runs must fail in a row for an upstream to
 	// get no new work for a while. Tasks fail by their own fault too, in a few
 	// of a hundred runs.
-	quarantineAfter = 3
+	quarantineAfter = 2
 	// quarantine is the first time without new work; it doubles with each
 	// failure that follows, up to maxQuarantine.
 	quarantine    = 2 * clock.Second
@@ -21,17 +21,18 @@
 	// failures counts the failed runs since the last one that ended well.
 	failures int
 	until    clock.Millis
+	// slow is the logarithm of the time that tasks take there against others,
+	// as of slowAt.
+	slow   float64
+	slowAt clock.Millis
 }
 
 func (r *record) isQuarantined(now clock.Millis) bool { return now < r.until }
 
-// slowness is the time that a task takes there against the usual one.
-func (r *record) slowness() float64 { return 1 }
-
 func (r *record) note(now clock.Millis, how keeper.How) {
 	switch how {
 	case keeper.Done:
-		*r = record{}
+		r.failures, r.until = 0, 0
 	case keeper.FailedRun:
 		r.failures++
 		if over := r.failures - quarantineAfter; over >= 0 {
@@ -46,6 +47,9 @@
 		h.record.note(p.now, how)
 	}
 	j := p.state.Jobs[r.key.Task.Job]
+	if s := p.steps[r.key.Task.StepID()]; s != nil && how == keeper.Done {
+		p.compare(s, r)
+	}
 	if how == keeper.Done && r.ackedAt > 0 && !r.inherited && !r.resumed && j != nil && len(j.Work.Steps) > 0 {
 		p.forecastOf(j).see(j.Work.Steps[r.key.Task.Step].Estimate, p.now-r.ackedAt)
 	}
--- a/planner/look.go
+++ b/planner/look.go
@@ -86,6 +86,8 @@
 		p.seeRun(h, r)
 	}
 	p.endUnlisted(h, listed, sentAt, first)
+	p.stopDoubtful(h, listed, sentAt)
+	p.checkProgress(h)
 	p.dirty = true
 }
 
@@ -119,6 +121,7 @@
 	}
 	if r.ackedAt == 0 {
 		r.ackedAt = p.now
+		r.unanswered = false
 	}
 	r.watch(p.now, s)
 }
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -151,7 +151,7 @@
 // there, then how little room is left over, which keeps large gaps for large
 // tasks.
 func (p *Planner) score(s *step, h *host, need unit.Resources) float64 {
-	time := h.record.slowness()
+	time := h.record.slowness(p.now)
 	if s.spec.DataRack != "" && s.spec.DataRack != h.Rack {
 		time *= farFactor
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -120,6 +120,7 @@
 		p.sweepAt = p.now + sweepEvery
 		p.sweepHosts()
 		p.sweepRuns()
+		p.sweepOverdue()
 		p.openDue()
 		p.forget()
 		p.dirty = true
--- a/planner/run.go
+++ b/planner/run.go
@@ -33,6 +33,8 @@
 	checkpoint   string
 	percent      int
 	movedAt      clock.Millis
+	// checkAt is when to look whether the run makes progress.
+	checkAt clock.Millis
 }
 
 // isDoubtful reports whether the start may still be carried out.
@@ -57,9 +59,6 @@
 }
 
 const (
-	// doubtWait is how long an unanswered start may show up in a look before
-	// it is stopped.
-	doubtWait = 300 * clock.Millisecond
 	// stopRetry is the time between two orders to stop the same run.
 	stopRetry = 400 * clock.Millisecond
 	// brokenWait is how long the members of a broken gang may take to end by
@@ -99,10 +98,7 @@
 		p.refused(r, a.Reason)
 	case Unanswered:
 		if r.ackedAt == 0 {
-			r.unanswered, r.unansweredAt = true, p.now
-			if h := p.hosts[r.host]; h != nil {
-				h.failing = true
-			}
+			p.doubt(r)
 		}
 	}
 }
@@ -158,6 +154,9 @@
 	r.stopPending = false
 	if _, ok := a.(Done); ok {
 		r.stoppedAt = p.now
+		if h := p.hosts[r.host]; h != nil && r.unanswered {
+			p.peek(h)
+		}
 		return
 	}
 	r.stopAt = p.now + stopRetry
@@ -213,12 +212,6 @@
 
 // sweepRuns repeats orders whose answer is missing.
 func (p *Planner) sweepRuns() {
-	for _, r := range p.runs {
-		if r.unanswered && !r.stopWanted && p.now-r.unansweredAt >= doubtWait && r.ackedAt == 0 {
-			r.stopWanted, r.stopAt = true, p.now
-			p.stopGang(r.key, 0)
-		}
-	}
 	var due []*run
 	for _, r := range p.runs {
 		if r.stopWanted && !r.stopPending && r.stoppedAt == 0 && p.now >= r.stopAt && p.hosts[r.host] != nil {
--- a/planner/step.go
+++ b/planner/step.go
@@ -22,6 +22,8 @@
 	advice  *advice
 	// claim is the room that it waits for.
 	claim *claim
+	// timings are the tasks that have ended well, until all have.
+	timings []timing
 }
 
 // rank orders the steps that wait.
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -122,6 +122,9 @@
 			e.Reply()
 		case planner.Start, planner.Stop:
 			w.send(e)
+		case planner.Peek:
+			w.lookAt[e.To.ID] = w.now
+			w.planner.Peeked(e.To)
 		}
 	}
 }
