forwarder: attend at all core machines and switch to a new holder at once

Change: entries attend at every core machine each 250 ms; answers carry the term, and a request under way is sent again when a holder of a higher term becomes known. A new session knows who attended and can ask for advice at once.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -77,11 +77,13 @@
 
 	mu      sync.Mutex
 	session *session
+	// attended is when each instance that can ask for advice attended last.
+	attended map[unit.Instance]clock.Millis
 }
 
 // New returns a driver.
 func New(c Config) *Driver {
-	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{})}
+	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{}), attended: map[unit.Instance]clock.Millis{}}
 }
 
 // Run starts and ends sessions until ctx ends.
@@ -151,6 +153,8 @@
 	NotHolder bool
 	// Holder is who is believed to hold it; empty if unknown.
 	Holder unit.Instance
+	// Term is that of the leadership that the answer speaks of.
+	Term replicator.Term
 	// Members are the instances that may hold it.
 	Members []unit.Instance
 	Reply   planner.Reply
@@ -168,7 +172,10 @@
 // Ask gives a request to the session, if there is one here.
 func (d *Driver) Ask(ctx context.Context, r planner.Request) Envelope {
 	st := d.cfg.Log.Status()
-	e := Envelope{Holder: st.Leader, Members: members(st.Membership)}
+	e := Envelope{Holder: st.Leader, Term: st.Term, Members: members(st.Membership)}
+	if a, ok := r.(planner.Attend); ok && a.Advises {
+		d.attend(a.From)
+	}
 	s := d.current()
 	if s == nil {
 		e.NotHolder = true
@@ -177,11 +184,38 @@
 		}
 		return e
 	}
-	e.Holder = d.cfg.Self
+	e.Holder, e.Term = d.cfg.Self, s.term
 	e.Reply = s.ask(ctx, r)
 	return e
 }
 
+// attend notes an instance that can ask for advice, for the session that may
+// begin here.
+func (d *Driver) attend(id unit.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attended[id] = d.cfg.Clock.Now()
+}
+
+// attendMemory is for how long an instance that attended is expected to be
+// there.
+const attendMemory = 1 * clock.Second
+
+// present returns the instances that attended lately.
+func (d *Driver) present() []unit.Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []unit.Instance
+	for id, at := range d.attended {
+		if d.cfg.Clock.Now()-at > attendMemory {
+			delete(d.attended, id)
+			continue
+		}
+		list = append(list, id)
+	}
+	return list
+}
+
 func members(m replicator.Membership) []unit.Instance {
 	var ids []unit.Instance
 	for _, v := range m.Voters {
--- a/driver/session.go
+++ b/driver/session.go
@@ -68,6 +68,9 @@
 		planner: planner.New(c, state),
 		looked:  map[unit.Upstream]bool{},
 	}
+	for _, id := range d.present() {
+		s.planner.Handle(c.Since, planner.Attend{From: id, Advises: true}, func(planner.Reply) {})
+	}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.log.WithFields(logrus.Fields{
 		"Jobs": len(state.Jobs), "Upstreams": len(state.Hosts), "ConfigVersion": state.Config.Version,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,9 +13,11 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/driver"
@@ -23,6 +25,7 @@
 	"github.com/chervilvane/chervilvane/instance"
 	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -33,9 +36,11 @@
 	// tryPause is the wait between two tries, jittered.
 	tryPause = 40 * clock.Millisecond
 	// attendEvery is the time between two signs of life to the holder.
-	attendEvery = 500 * clock.Millisecond
-	// attendSearch is the wait between them while no holder is known.
-	attendSearch = 100 * clock.Millisecond
+	attendEvery = 250 * clock.Millisecond
+	// attendSearch is the wait between them while no holder answers.
+	attendSearch = 50 * clock.Millisecond
+	// attendTimeout bounds a round; a round trip takes a few milliseconds.
+	attendTimeout = 200 * clock.Millisecond
 	// retryAfter is when a caller may come back after no holder was found: an
 	// election takes about that long.
 	retryAfter = 1 * clock.Second
@@ -58,9 +63,14 @@
 type Forwarder struct {
 	cfg  Config
 	done chan struct{}
+	// group holds the goroutines that end tries.
+	group errgroup.Group
 
 	mu     sync.Mutex
 	holder unit.Instance
+	// term is that of the holder; changed is closed when there is another one.
+	term    replicator.Term
+	changed chan struct{}
 	// known are all instances that may hold the domain.
 	known  []unit.Instance
 	next   int
@@ -70,29 +80,49 @@
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{cfg: c, known: slices.Clone(c.Contacts), next: rand.IntN(max(len(c.Contacts), 1)), done: make(chan struct{})}
+	return &Forwarder{cfg: c, known: slices.Clone(c.Contacts), next: rand.IntN(max(len(c.Contacts), 1)), done: make(chan struct{}), changed: make(chan struct{})}
 }
 
-// Run attends at the holder until ctx ends.
+// Run attends at all instances that may hold the domain until ctx ends, so that
+// a new holder is known as soon as any of them knows it.
 func (f *Forwarder) Run(ctx context.Context) error {
 	defer close(f.done)
+	body := planner.EncodeRequest(planner.Attend{From: f.cfg.Self, Advises: f.cfg.Advises})
 	for ctx.Err() == nil {
 		wait := attendEvery
-		try, cancel := context.WithTimeout(ctx, tryTimeout.Duration())
-		r, err := f.try(try, planner.EncodeRequest(planner.Attend{From: f.cfg.Self, Advises: f.cfg.Advises}))
-		cancel()
-		if err != nil || r.Code != planner.OK {
+		if !f.attend(ctx, body) {
 			wait = attendSearch
-		} else {
-			f.mu.Lock()
-			f.bounds = r.Bounds
-			f.mu.Unlock()
 		}
 		_ = clock.Sleep(ctx, wait)
 	}
 	return nil
 }
 
+// attend goes one round and reports whether the holder answered.
+func (f *Forwarder) attend(ctx context.Context, body []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, attendTimeout.Duration())
+	defer cancel()
+	f.mu.Lock()
+	all := slices.Clone(f.known)
+	f.mu.Unlock()
+	var group errgroup.Group
+	var found atomic.Bool
+	for _, to := range all {
+		group.Go(func() error {
+			r, err := f.call(ctx, to, body)
+			if err == nil && r.Code == planner.OK {
+				found.Store(true)
+				f.mu.Lock()
+				f.bounds = r.Bounds
+				f.mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return found.Load()
+}
+
 // SetContacts replaces the contacts.
 func (f *Forwarder) SetContacts(list []unit.Instance) {
 	f.mu.Lock()
@@ -164,14 +194,38 @@
 // errNoHolder is a try at an instance that doesn't hold the domain.
 var errNoHolder = errors.New("no instance holds the domain")
 
+// errHolderChanged ends a try whose holder was replaced meanwhile.
+var errHolderChanged = errors.New("another instance holds the domain now")
+
+// try asks the holder, or the next instance that may know it. It ends when
+// another holder becomes known.
 func (f *Forwarder) try(ctx context.Context, body []byte) (planner.Reply, error) {
-	to := f.pick()
+	to, changed := f.pick()
 	if to == "" {
 		return planner.Reply{}, errNoHolder
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watched := make(chan struct{})
+	defer close(watched)
+	f.group.Go(func() error {
+		select {
+		case <-changed:
+			cancel(errHolderChanged)
+		case <-watched:
+		}
+		return nil
+	})
+	return f.call(ctx, to, body)
+}
+
+// call asks one instance and learns from its answer.
+func (f *Forwarder) call(ctx context.Context, to unit.Instance, body []byte) (planner.Reply, error) {
 	answer, err := f.cfg.Mesh.Call(ctx, to, driver.MethodRequest, body)
 	if err != nil {
-		f.forget(to)
+		if !errors.Is(context.Cause(ctx), errHolderChanged) {
+			f.forget(to)
+		}
 		return planner.Reply{}, err
 	}
 	var e driver.Envelope
@@ -185,18 +239,19 @@
 	return e.Reply, nil
 }
 
-// pick returns the holder, or the next instance that may know it.
-func (f *Forwarder) pick() unit.Instance {
+// pick returns the holder, or the next instance that may know it, and what is
+// closed when another holder becomes known.
+func (f *Forwarder) pick() (unit.Instance, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.holder != "" {
-		return f.holder
+		return f.holder, f.changed
 	}
 	if len(f.known) == 0 {
-		return ""
+		return "", f.changed
 	}
 	f.next = (f.next + 1) % len(f.known)
-	return f.known[f.next]
+	return f.known[f.next], f.changed
 }
 
 func (f *Forwarder) forget(id unit.Instance) {
@@ -210,25 +265,39 @@
 func (f *Forwarder) learn(from unit.Instance, e driver.Envelope) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(e.Members) > 0 {
-		// The contacts stay: the members of a stale answer may all be gone.
-		f.known = slices.Clone(e.Members)
-		for _, c := range f.cfg.Contacts {
-			if !slices.Contains(f.known, c) {
-				f.known = append(f.known, c)
-			}
+	if e.Term < f.term {
+		// An instance that was cut off speaks of a former holder.
+		return
+	}
+	f.learnMembers(e.Members)
+	holder := e.Holder
+	if !e.NotHolder {
+		holder = from
+		f.reach = f.cfg.Clock.Now()
+	}
+	if holder == "" || e.NotHolder && holder == from || holder == f.holder && e.Term == f.term {
+		return
+	}
+	if f.holder != holder {
+		if f.cfg.Logger != nil {
+			f.cfg.Logger.WithFields(logrus.Fields{"Holder": holder, "Term": e.Term, "From": from}).Info("found the holder of the domain")
 		}
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	f.holder, f.term = holder, e.Term
+}
+
+// learnMembers keeps the contacts: the members of a stale answer may all be
+// gone.
+func (f *Forwarder) learnMembers(list []unit.Instance) {
+	if len(list) == 0 {
+		return
 	}
-	switch {
-	case !e.NotHolder:
-		if f.holder != from && f.cfg.Logger != nil {
-			f.cfg.Logger.WithField("Holder", from).Info("found the holder of the domain")
+	f.known = slices.Clone(list)
+	for _, c := range f.cfg.Contacts {
+		if !slices.Contains(f.known, c) {
+			f.known = append(f.known, c)
 		}
-		f.holder = from
-		f.reach = f.cfg.Clock.Now()
-	case e.Holder != "" && e.Holder != from:
-		f.holder = e.Holder
-	case f.holder == from:
-		f.holder = ""
 	}
 }
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -38,8 +38,8 @@
 	// domainHeartbeat and domainElection are the log's timing. An election
 	// timeout is several round trips and syncs of a disk that is slow, and
 	// bounds the time without a holder.
-	domainHeartbeat = 75 * clock.Millisecond
-	domainElection  = 600 * clock.Millisecond
+	domainHeartbeat = 50 * clock.Millisecond
+	domainElection  = 400 * clock.Millisecond
 	// domainDeadAfter is for how long a voter must be silent before a standby
 	// takes its place: longer than a restart takes.
 	domainDeadAfter = 4 * clock.Second
