--- a/planner/plan.go
+++ b/planner/plan.go
@@ -58,7 +58,40 @@
 // suits reports whether an upstream could ever run a step.
 func (p *Planner) suits(s *step, h *host) bool {
 	return h.isUsable() && h.Service == p.serviceOf(s.job) && h.HasLabel(s.spec.Requires) && !h.record.isQuarantined(p.now) &&
-		p.state.NeedOf(s.spec).Fits(h.Capacity)
+		p.state.NeedOf(s.spec).Fits(h.Capacity) && !(s.spec.Fills && p.serves(h))
+}
+
+// serves reports whether a task that serves users runs on an upstream. Tasks
+// that fill disturb it by an amount that nobody knows beforehand, so they stay
+// away.
+func (p *Planner) serves(h *host) bool {
+	for key := range h.Runs {
+		if spec := p.specOf(key); spec != nil && spec.Target > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// specOf returns the step of a run; nil if nothing of its job is kept.
+func (p *Planner) specOf(key keeper.RunKey) *keeper.Step {
+	j := p.state.Jobs[key.Task.Job]
+	if j == nil || key.Task.Step >= len(j.Work.Steps) {
+		return nil
+	}
+	return &j.Work.Steps[key.Task.Step]
+}
+
+// stopFillers stops the tasks that fill on an upstream where one that serves
+// users starts.
+func (p *Planner) stopFillers(h *host) {
+	for _, key := range h.SortedRuns() {
+		r := p.runs[key]
+		if spec := p.specOf(key); r != nil && spec != nil && spec.Fills && !r.stopWanted {
+			r.stopWanted, r.stopAt = true, p.now
+			p.sweepAt = p.now
+		}
+	}
 }
 
 // serviceOf returns the service that a job's queue belongs to now.
@@ -97,12 +130,12 @@
 func (p *Planner) candidates(s *step) []candidate {
 	var list []candidate
 	perHost := p.spread(s)
-	need := p.state.NeedOf(s.spec)
+	need, reserve := p.state.NeedOf(s.spec), p.reserve(s)
 	for _, h := range p.hosts {
 		if !p.suits(s, h) || !s.mayRun(h) {
 			continue
 		}
-		n := timesFits(need, h.free())
+		n := timesFits(need, h.free().Sub(reserve))
 		if s.spec.AntiAffinity > 0 {
 			n = min(n, s.spec.AntiAffinity-perHost[h.ID])
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -16,6 +16,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/chervilvane/chervilvane/clock"
@@ -33,8 +34,6 @@
 	MaxHold clock.Millis
 	// Retention is how long an ended job can be asked for.
 	Retention clock.Millis
-	// EarlyStart is how long before its time an occurrence may start.
-	EarlyStart clock.Millis
 }
 
 // Planner is the holder's view of the domain.
@@ -52,6 +51,7 @@
 	advisers map[unit.Instance]*adviser
 	// forecasts are what was learned of each queue's tasks.
 	forecasts map[unit.Queue]*forecast
+	urgent    urgent
 
 	// dirty: something has changed that may let a waiting step start.
 	dirty    bool
@@ -80,8 +80,8 @@
 			p.runs[key] = &run{key: key, host: id, life: held.Life, inherited: true, at: held.At}
 		}
 	}
-	for _, j := range state.Jobs {
-		if !j.Phase.IsFinal() {
+	for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
+		if j := state.Jobs[id]; !j.Phase.IsFinal() {
 			p.open(j)
 		}
 	}
--- a/planner/room.go
+++ b/planner/room.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -17,6 +18,43 @@
 	claimTicket = 500 * clock.Millisecond
 )
 
+// urgentMemory is the weight of a new job in the usual need of an urgent task.
+const urgentMemory = 0.05
+
+// urgent is what was learned of the tasks of the most urgent queue.
+type urgent struct {
+	known    bool
+	priority int
+	cpu, mem float64
+}
+
+// see takes in the steps of an accepted job.
+func (u *urgent) see(j *keeper.Job) {
+	if u.known && j.Queue.Priority > u.priority {
+		return
+	}
+	if !u.known || j.Queue.Priority < u.priority {
+		*u = urgent{known: true, priority: j.Queue.Priority}
+	}
+	for _, s := range j.Work.Steps {
+		weight := urgentMemory
+		if u.cpu == 0 {
+			weight = 1
+		}
+		u.cpu += weight * (float64(s.Need.CPU) - u.cpu)
+		u.mem += weight * (float64(s.Need.Memory) - u.mem)
+	}
+}
+
+// reserve is what less urgent tasks leave free on each upstream: room for one
+// urgent task. Without it each of them has to stop something first.
+func (p *Planner) reserve(s *step) unit.Resources {
+	if !p.urgent.known || s.spec.Gang || s.rank.priority <= p.urgent.priority {
+		return unit.Resources{}
+	}
+	return unit.Resources{CPU: unit.MilliCPU(p.urgent.cpu), Memory: unit.Bytes(p.urgent.mem)}
+}
+
 // claim is room on upstreams that a step waits for.
 type claim struct {
 	until clock.Millis
--- a/planner/run.go
+++ b/planner/run.go
@@ -71,6 +71,9 @@
 	id := s.id.Task(index)
 	p.record(keeper.StartRun{Task: id, Number: number, Upstream: h.ID, Life: h.Life, At: p.now})
 	key := keeper.RunKey{Task: id, Number: number}
+	if s.spec.Target > 0 {
+		p.stopFillers(h)
+	}
 	saved := s.checkpoint(index)
 	p.runs[key] = &run{key: key, host: h.ID, life: h.Life, at: p.now, sentAt: p.now, resumed: saved != ""}
 	p.effect(Start{
--- a/planner/stall.go
+++ b/planner/stall.go
@@ -67,15 +67,14 @@
 
 // predictRun returns how long a run was expected to take.
 func (p *Planner) predictRun(r *run) clock.Millis {
-	j := p.state.Jobs[r.key.Task.Job]
-	if j == nil || len(j.Work.Steps) <= r.key.Task.Step {
+	step := p.specOf(r.key)
+	switch {
+	case step == nil:
 		return clock.Minute
-	}
-	step := &j.Work.Steps[r.key.Task.Step]
-	if step.LongRunning {
+	case step.LongRunning:
 		return clock.Day
 	}
-	return p.forecastOf(j).predict(step.Estimate)
+	return p.forecastOf(p.state.Jobs[r.key.Task.Job]).predict(step.Estimate)
 }
 
 // checkProgress stops the runs of a host that stand still.
--- a/planner/step.go
+++ b/planner/step.go
@@ -57,6 +57,7 @@
 
 // open takes a job's first steps into the waiting list.
 func (p *Planner) open(j *keeper.Job) {
+	p.urgent.see(j)
 	if j.Work.Repeat == 0 {
 		p.refresh(j, 0)
 		return
@@ -76,7 +77,7 @@
 			delete(p.timed, id)
 			continue
 		}
-		for next < j.Total() && j.DueAt(next) <= p.now+p.cfg.EarlyStart {
+		for next < j.Total() && j.DueAt(next) <= p.now {
 			p.refresh(j, next)
 			next++
 		}
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -135,7 +135,7 @@
 	if s.DataFolder == "" {
 		return &domainCore{}, nil
 	}
-	storage, err := recorder.Open(filepath.Join(s.DataFolder, "domain"), recorder.Disk{}, recorder.Options{})
+	storage, err := openStorage(s, l)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +155,7 @@
 	}
 	d := driver.New(driver.Config{
 		Self: mesh.Self(), Log: node, State: state, Upstreams: o, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
-		Planner: planner.Config{MaxHold: s.MaxHold, Retention: s.Retention, EarlyStart: s.EarlyStart},
+		Planner: planner.Config{MaxHold: s.MaxHold, Retention: s.Retention},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
 		node.Step(from, body)
@@ -165,6 +165,31 @@
 	return &domainCore{node, storage, d}, nil
 }
 
+const (
+	// openFor is how long a disk that can't be opened is tried again, so that
+	// one that is full or hangs for some seconds doesn't end the process time
+	// after time.
+	openFor = 10 * clock.Second
+	// openRetry is the wait between two tries.
+	openRetry = 500 * clock.Millisecond
+)
+
+// openStorage opens the data folder.
+func openStorage(s platform.Settings, l logrus.FieldLogger) (*recorder.Recorder, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), openFor.Duration())
+	defer cancel()
+	for {
+		storage, err := recorder.Open(filepath.Join(s.DataFolder, "domain"), recorder.Disk{}, recorder.Options{})
+		if err == nil {
+			return storage, nil
+		}
+		l.WithError(err).Error("the data folder can't be opened")
+		if clock.Sleep(ctx, openRetry) != nil {
+			return nil, err
+		}
+	}
+}
+
 // logTransport sends the log's messages over the mesh.
 type logTransport struct{ mesh *instance.TCP }
 
