--- /dev/null
+++ b/driver/driver_test.go
@@ -0,0 +1,232 @@
+package driver_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/driver"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/logger"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// fakeLog commits what is proposed, unless it is told otherwise.
+type fakeLog struct {
+	mu     sync.Mutex
+	state  *keeper.State
+	term   replicator.Term
+	leads  bool
+	leased bool
+	fail   error
+	delay  time.Duration
+}
+
+func (l *fakeLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	l.mu.Lock()
+	delay, fail := l.delay, l.fail
+	l.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return nil, &replicator.UnknownResultError{Cause: ctx.Err()}
+	}
+	if fail != nil {
+		return nil, fail
+	}
+	return l.state.Apply(0, command), nil
+}
+
+func (l *fakeLog) Lead() (replicator.Term, clock.Millis, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term, 1, l.leads && l.leased
+}
+
+func (l *fakeLog) Status() replicator.Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := replicator.Status{Term: l.term, Role: replicator.RoleFollower, Leader: "other"}
+	if l.leads {
+		s.Role, s.Leader = replicator.RoleLeader, "self"
+	}
+	return s
+}
+
+// holds reports whether a job was committed.
+func (l *fakeLog) holds(id keeper.JobID) bool {
+	s := keeper.New()
+	return s.Restore(l.state.Snapshot()) == nil && s.Jobs[id] != nil
+}
+
+func (l *fakeLog) set(f func(l *fakeLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+// fakeUpstream runs each task for a second.
+type fakeUpstream struct {
+	mu      sync.Mutex
+	began   time.Time
+	started map[keeper.RunKey]time.Time
+	tokens  []uint64
+}
+
+// tokensSeen returns the tokens of the starts.
+func (u *fakeUpstream) tokensSeen() []uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.tokens)
+}
+
+func (u *fakeUpstream) now() clock.Millis { return clock.FromDuration(time.Since(u.began)) + 1 }
+
+func (u *fakeUpstream) Start(_ context.Context, token uint64, s planner.Start) (planner.Answer, clock.Millis) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.started[s.Run] = time.Now()
+	u.tokens = append(u.tokens, token)
+	return planner.Done{}, u.now()
+}
+
+func (u *fakeUpstream) Stop(context.Context, uint64, planner.Stop) (planner.Answer, clock.Millis) {
+	return planner.Done{}, u.now()
+}
+
+func (u *fakeUpstream) Look(ctx context.Context, _ uint64, l planner.Look) (planner.Seen, error) {
+	if err := clock.Sleep(ctx, min(l.Wait, 200)); err != nil {
+		return planner.Seen{}, err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := planner.Seen{Life: 1, Clock: u.now()}
+	for key, at := range u.started {
+		if time.Since(at) < time.Second {
+			s.Runs = append(s.Runs, planner.SeenRun{Run: key})
+		} else if l.Noted == 0 {
+			s.Ends = append(s.Ends, planner.SeenEnd{Number: 1, Run: key, How: keeper.Done})
+		}
+	}
+	return s, nil
+}
+
+type noMesh struct{}
+
+func (noMesh) Call(context.Context, unit.Instance, instance.Method, []byte) ([]byte, error) {
+	return nil, errors.New("no mesh")
+}
+
+const job keeper.JobID = "00000000000000aa"
+
+var to = planner.Address{Host: "h", Path: "/q/" + string(job), Key: "k"}
+
+// holder runs a driver that leads, with one upstream and a configuration.
+func holder(t *testing.T) (*driver.Driver, *fakeLog, *fakeUpstream) {
+	t.Helper()
+	l := &fakeLog{state: keeper.New(), term: 7, leads: true, leased: true, delay: 5 * time.Millisecond}
+	u := &fakeUpstream{began: time.Now(), started: map[keeper.RunKey]time.Time{}}
+	d := driver.New(driver.Config{
+		Self: "self", Log: l, State: l.state, Upstreams: u, Mesh: noMesh{}, Logger: logger.Discard(),
+		Planner: planner.Config{MaxHold: 6000, Retention: clock.Minute},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = d.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	time.Sleep(50 * time.Millisecond)
+	is := is.New(t)
+	is.Equal(ask(d, planner.PutConfig{Config: keeper.Config{Version: 1, Queues: []keeper.QueueRoute{{
+		Host: "h", PathPrefix: "/q/", Queue: keeper.Queue{Name: "q", Service: "s", MaxAttempts: 2},
+	}}, Accounts: []keeper.Account{{Name: "t", Keys: []string{"k"}}}}}).Reply.Code, planner.OK)
+	is.Equal(ask(d, planner.Announce{Upstream: keeper.Upstream{
+		ID: "u", Life: 1, Address: "u:1", Service: "s", Capacity: unit.Resources{CPU: 1000},
+	}, Clock: 1, Seq: 1}).Reply.Code, planner.OK)
+	return d, l, u
+}
+
+func ask(d *driver.Driver, r planner.Request) driver.Envelope {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	body, err := d.Serve(ctx, "e", planner.EncodeRequest(r))
+	if err != nil {
+		panic(err)
+	}
+	var e driver.Envelope
+	if err := encoder.Unmarshal(body, &e); err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func submit() planner.Request {
+	return planner.Submit{To: to, ID: job, Work: keeper.Submission{Spec: "x", Steps: []keeper.Step{{Count: 1, Need: unit.Resources{CPU: 500}}}}}
+}
+
+func TestJobIsAcceptedRunOnceAndCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := holder(t)
+		is.Equal(ask(d, submit()).Reply.Code, planner.OK)
+		is.True(l.holds(job)) // the answer came after the commit
+		time.Sleep(3 * time.Second)
+		is.Equal(ask(d, planner.Inspect{To: to, ID: job}).Reply.Phase, keeper.Completed)
+		is.Equal(u.tokensSeen(), []uint64{7})
+	})
+}
+
+func TestFailedCommitLeavesTheResultUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := holder(t)
+		l.set(func(l *fakeLog) { l.fail = &replicator.UnknownResultError{Cause: errors.New("lost")} })
+		is.Equal(ask(d, submit()).Reply.Code, planner.Unknown)
+		time.Sleep(time.Second)
+		// What the log of this term will hold isn't known, so no session begins
+		// in it.
+		is.True(ask(d, submit()).NotHolder)
+		is.Equal(len(u.tokensSeen()), 0)
+		l.set(func(l *fakeLog) { l.fail, l.term = nil, 8 })
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(ask(d, submit()).Reply.Code, planner.OK)
+	})
+}
+
+func TestNothingLeavesWithoutALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := holder(t)
+		l.set(func(l *fakeLog) { l.leased = false })
+		is.Equal(ask(d, submit()).Reply.Code, planner.Unknown)
+		is.Equal(len(u.tokensSeen()), 0)
+		l.set(func(l *fakeLog) { l.leased = true })
+		time.Sleep(time.Second)
+		is.Equal(u.tokensSeen(), []uint64{7})
+	})
+}
+
+func TestOthersPointAtTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, _ := holder(t)
+		l.set(func(l *fakeLog) { l.leads = false })
+		time.Sleep(100 * time.Millisecond)
+		e := ask(d, submit())
+		is.True(e.NotHolder)
+		is.Equal(e.Holder, unit.Instance("other"))
+	})
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,151 @@
+package forwarder_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/driver"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/forwarder"
+	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/replicator"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// fleet is a mesh on which one instance holds the domain.
+type fleet struct {
+	mu     sync.Mutex
+	holder unit.Instance
+	term   replicator.Term
+	// down instances can't be reached; silent ones never answer.
+	down, silent map[unit.Instance]bool
+	asked        map[unit.Instance]int
+	reply        planner.Reply
+}
+
+func newFleet(holder unit.Instance) *fleet {
+	return &fleet{holder: holder, term: 1, down: map[unit.Instance]bool{}, silent: map[unit.Instance]bool{}, asked: map[unit.Instance]int{}}
+}
+
+// Call implements instance.Caller.
+func (f *fleet) Call(ctx context.Context, to unit.Instance, _ instance.Method, body []byte) ([]byte, error) {
+	f.mu.Lock()
+	down, silent, holder, term := f.down[to], f.silent[to], f.holder, f.term
+	f.mu.Unlock()
+	if down {
+		return nil, &instance.CallError{Peer: to, Cause: errors.New("down")}
+	}
+	if silent {
+		<-ctx.Done()
+		return nil, &instance.CallError{Peer: to, Delivered: true, Cause: ctx.Err()}
+	}
+	e := driver.Envelope{NotHolder: to != holder, Holder: holder, Term: term, Members: []unit.Instance{"a", "b", "c"}}
+	r, err := planner.DecodeRequest(body)
+	if err != nil {
+		return nil, err
+	}
+	if _, attends := r.(planner.Attend); !attends && to == holder {
+		f.mu.Lock()
+		f.asked[to]++
+		e.Reply = f.reply
+		f.mu.Unlock()
+	}
+	return encoder.Marshal(e), nil
+}
+
+func start(ctx context.Context, f *fleet, contacts ...unit.Instance) (*forwarder.Forwarder, func()) {
+	w := forwarder.New(forwarder.Config{Self: "e", Contacts: contacts, Mesh: f, Clock: clock.Clock{}})
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan error)
+	var group sync.WaitGroup
+	group.Go(func() { done <- w.Run(ctx) })
+	return w, func() {
+		cancel()
+		<-done
+	}
+}
+
+func ask(w *forwarder.Forwarder, d time.Duration) planner.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return w.Ask(ctx, planner.GetConfig{})
+}
+
+func TestHolderIsFoundFromAnyContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("c")
+		f.down["b"] = true
+		w, stop := start(t.Context(), f, "b", "a")
+		defer stop()
+		is.New(t).Equal(ask(w, 3*time.Second).Code, planner.OK)
+		is.New(t).Equal(w.Holder(), unit.Instance("c"))
+	})
+}
+
+// TestRequestFollowsANewHolder has a request wait at a holder that froze while
+// another one takes over.
+func TestRequestFollowsANewHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet("a")
+		w, stop := start(t.Context(), f, "a", "b")
+		defer stop()
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		f.silent["a"] = true
+		f.mu.Unlock()
+		var group sync.WaitGroup
+		var reply planner.Reply
+		began := time.Now()
+		var took time.Duration
+		group.Go(func() {
+			reply = ask(w, 5*time.Second)
+			took = time.Since(began)
+		})
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		f.holder, f.term = "b", 2
+		f.mu.Unlock()
+		group.Wait()
+		is.Equal(reply.Code, planner.OK)
+		is.True(took < 700*time.Millisecond) // sooner than a try times out
+	})
+}
+
+func TestLastWordTellsTheTruth(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(f *fleet)
+		want   planner.Code
+	}{
+		"nobody is reachable":        {change: func(f *fleet) { f.down["a"], f.down["b"], f.down["c"] = true, true, true }, want: planner.Unavailable},
+		"nobody holds the domain":    {change: func(f *fleet) { f.holder = "" }, want: planner.Unavailable},
+		"the holder never answers":   {change: func(f *fleet) { f.silent["a"] = true }, want: planner.Unknown},
+		"the holder knows no result": {change: func(f *fleet) { f.reply.Code = planner.Unknown }, want: planner.Unknown},
+		"the holder is overloaded":   {change: func(f *fleet) { f.reply.Code = planner.Overloaded }, want: planner.Overloaded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet("a")
+				w, stop := start(t.Context(), f, "a", "b")
+				defer stop()
+				time.Sleep(time.Second)
+				f.mu.Lock()
+				c.change(f)
+				f.mu.Unlock()
+				r := ask(w, 3*time.Second)
+				is.New(t).Equal(r.Code, c.want)
+				if c.want == planner.Unavailable {
+					is.New(t).True(r.RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,359 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// quiet returns a world without faults whose configuration was changed.
+func quiet(t *testing.T, change func(c *keeper.Config)) *world {
+	w := newWorld(t, func(int) int { return 1 }, 3)
+	w.calm = true
+	c := config(0)
+	c.Version = 2
+	change(&c)
+	w.log.Do(keeper.SetConfig{Config: c})
+	w.takeOver()
+	w.step(10)
+	return w
+}
+
+func (w *world) ask(r planner.Request) planner.Reply {
+	var reply planner.Reply
+	w.planner.Handle(w.now, r, func(a planner.Reply) { reply = a })
+	w.commit()
+	return reply
+}
+
+func submission(cpu unit.MilliCPU, count int) keeper.Submission {
+	return keeper.Submission{Spec: "x", Steps: []keeper.Step{{Count: count, Need: unit.Resources{CPU: cpu}, Estimate: 500}}}
+}
+
+const first keeper.JobID = "00000000000000aa"
+
+func TestRequestsAreAdmittedByQueueAndKey(t *testing.T) {
+	w := quiet(t, func(c *keeper.Config) {
+		c.Queues = append(c.Queues, keeper.QueueRoute{Host: "h", PathPrefix: "/q/open/", Open: true, Queue: keeper.Queue{Name: "o", Service: service}})
+	})
+	for name, c := range map[string]struct {
+		path, key string
+		id        keeper.JobID
+		want      planner.Code
+	}{
+		"known key":          {path: "/q/" + string(first), key: "k", id: first, want: planner.OK},
+		"unknown key":        {path: "/q/" + string(first), key: "other", id: first, want: planner.Unauthorized},
+		"no key":             {path: "/q/" + string(first), id: first, want: planner.Unauthorized},
+		"open queue":         {path: "/q/open/00000000000000ab", id: "00000000000000ab", want: planner.OK},
+		"no queue":           {path: "/x/" + string(first), key: "k", id: first, want: planner.NoQueue},
+		"no id":              {path: "/q/short", key: "k", id: "short", want: planner.Invalid},
+		"a path after it":    {path: "/q/more/" + string(first), key: "k", id: first, want: planner.Invalid},
+		"unknown key, no id": {path: "/q/short", key: "other", id: "short", want: planner.Unauthorized},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := planner.Address{Host: "h", Path: c.path, Key: c.key}
+			is.New(t).Equal(w.ask(planner.Submit{To: to, ID: c.id, Work: submission(100, 1)}).Code, c.want)
+		})
+	}
+}
+
+func TestJobsThatMakeNoSenseAreInvalid(t *testing.T) {
+	w := quiet(t, func(*keeper.Config) {})
+	for name, work := range map[string]keeper.Submission{
+		"no steps":         {},
+		"no tasks":         {Steps: []keeper.Step{{}}},
+		"a negative need":  {Steps: []keeper.Step{{Count: 1, Need: unit.Resources{CPU: -1}}}},
+		"needs itself":     {Steps: []keeper.Step{{Count: 1, DependsOn: []int{0}}}},
+		"needs a later":    {Steps: []keeper.Step{{Count: 1, DependsOn: []int{1}}, {Count: 1}}},
+		"too many tasks":   {Steps: []keeper.Step{{Count: 1 << 30}}},
+		"negative repeats": {Steps: []keeper.Step{{Count: 1}}, Repeat: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(w.ask(planner.Submit{To: address(first), ID: first, Work: work}).Code, planner.Invalid)
+		})
+	}
+}
+
+func TestResentJobStaysOne(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	for range 3 {
+		is.Equal(w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)}).Code, planner.OK)
+		w.step(30)
+	}
+	is.Equal(len(w.log.Jobs), 1)
+	is.Equal(len(w.begun), 1)
+}
+
+func TestRequestsBeforeAConfigurationAreUnavailable(t *testing.T) {
+	is := is.New(t)
+	p := planner.New(planner.Config{Token: 1, MaxHold: maxHold}, keeper.New())
+	var got planner.Reply
+	p.Handle(1, planner.Inspect{To: address(first), ID: first}, func(a planner.Reply) { got = a })
+	_, effects := p.Take()
+	effects[0].(planner.Settle).Reply()
+	is.Equal(got.Code, planner.Unavailable)
+	is.True(got.RetryAfter > 0)
+}
+
+func TestOlderConfigurationChangesNothing(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	is.Equal(w.ask(planner.PutConfig{Config: keeper.Config{Version: 2, Document: []byte("other")}}).Code, planner.OK)
+	is.Equal(string(w.ask(planner.GetConfig{}).Document), "")
+	is.Equal(w.ask(planner.PutConfig{Config: keeper.Config{Version: 3, Document: []byte("new")}}).Code, planner.OK)
+	is.Equal(string(w.ask(planner.GetConfig{}).Document), "new")
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 3)})
+	w.step(20)
+	w.step(20)
+	is.Equal(w.running(), 3)
+	is.Equal(w.ask(planner.Cancel{To: address(first), ID: first}).Phase, keeper.Cancelled)
+	for range 6 {
+		w.step(20)
+	}
+	is.Equal(w.running(), 0)
+	is.Equal(w.ask(planner.Inspect{To: address(first), ID: first}).Phase, keeper.Cancelled)
+}
+
+func (w *world) running() int {
+	n := 0
+	for _, u := range w.upstreams {
+		n += len(u.runs)
+	}
+	return n
+}
+
+func TestDrainingUpstreamGetsNothing(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	for _, u := range w.upstreams[1:] {
+		u.draining = true
+	}
+	w.step(10)
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 8)})
+	w.step(20)
+	w.step(20)
+	is.Equal(len(w.upstreams[0].runs), 4)
+	is.Equal(w.running(), 4)
+}
+
+// TestStartsNeedATicket also shows that known answers are kept and only their
+// tickets are asked for again.
+func TestStartsNeedATicket(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(c *keeper.Config) {
+		c.Queues[0].Queue.Advised, c.Queues[0].Queue.TicketLife = true, 2000
+	})
+	w.ask(planner.Attend{From: "e1", Advises: true})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(4000, 2)})
+	w.planner.Tick(w.now)
+	q := only[planner.Advise](t, w)
+	is.Equal(len(q.Upstreams), 3)
+	w.planner.Advised(w.now, q, map[unit.Upstream]string{"b": "ticket"}, 2000, nil)
+	w.planner.Tick(w.now)
+	start := only[planner.Start](t, w)
+	is.Equal(start.To.ID, unit.Upstream("b"))
+	is.Equal(start.Ticket, "ticket")
+	// The second task waits for room on b, and by then the ticket is too old.
+	w.planner.Started(w.now, start.Run, start.To, planner.Done{}, 0)
+	w.now += 3000
+	u := w.upstreams[1]
+	u.seq = 99
+	w.planner.Report(w.now, planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: 99}, func() {})
+	w.planner.Looked(w.now, w.now, start.To, planner.Seen{Life: 1, Clock: u.clock(), Ends: []planner.SeenEnd{{Number: 1, Run: start.Run, How: keeper.Done}}})
+	w.ask(planner.Attend{From: "e1", Advises: true})
+	w.planner.Tick(w.now)
+	is.Equal(only[planner.Advise](t, w).Upstreams, []unit.Upstream{"b"})
+}
+
+// only returns the one effect of a type that was decided.
+func only[E planner.Effect](t *testing.T, w *world) E {
+	t.Helper()
+	commands, effects := w.planner.Take()
+	for _, c := range commands {
+		w.log.Do(c)
+	}
+	var found []E
+	for _, e := range effects {
+		if x, ok := e.(E); ok {
+			found = append(found, x)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d effects of type %T in %+v", len(found), *new(E), effects)
+	}
+	return found[0]
+}
+
+// TestRunThatStandsStillIsMoved lets one upstream make no progress.
+func TestRunThatStandsStillIsMoved(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)})
+	w.planner.Tick(w.now)
+	start := only[planner.Start](t, w)
+	w.planner.Started(w.now, start.Run, start.To, planner.Done{}, 0)
+	for range 40 {
+		w.now += 100
+		w.planner.Looked(w.now, w.now, start.To, planner.Seen{
+			Life: 1, Clock: w.upstream(start.To.ID).clock(), Runs: []planner.SeenRun{{Run: start.Run, Percent: 7}},
+		})
+		w.planner.Peeked(start.To)
+		w.planner.Tick(w.now)
+		_, effects := w.planner.Take()
+		for _, e := range effects {
+			if s, ok := e.(planner.Stop); ok {
+				is.Equal(s.Run, start.Run)
+				is.True(w.now-1_000_010 < 3000) // soon after twice the predicted time
+				return
+			}
+		}
+	}
+	t.Fatal("the run was never stopped")
+}
+
+// TestWorthlessGangsComeLast submits a gang whose worth is gone and one that
+// can still earn.
+func TestWorthlessGangsComeLast(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	for _, u := range w.upstreams {
+		u.draining = true
+	}
+	w.step(10)
+	gang := keeper.Submission{Steps: []keeper.Step{{Count: 3, Gang: true, Need: unit.Resources{CPU: 4000}, Estimate: 500}}}
+	w.ask(planner.Submit{To: address(first), ID: first, Work: gang})
+	w.now += 20 * clock.Second
+	second := keeper.JobID("00000000000000ac")
+	w.ask(planner.Submit{To: address(second), ID: second, Work: gang})
+	for _, u := range w.upstreams {
+		u.draining = false
+	}
+	for range 4 {
+		w.step(10)
+	}
+	is.Equal(w.log.Jobs[first].Phase, keeper.Queued)
+	is.Equal(w.log.Jobs[second].Phase, keeper.Running)
+}
+
+// TestGangsMakeRoom fills the upstreams with tasks that checkpoint, of a less
+// urgent queue.
+func TestGangsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(c *keeper.Config) {
+		c.Queues = append(c.Queues, keeper.QueueRoute{Host: "h", PathPrefix: "/low/", Queue: keeper.Queue{Name: "low", Service: service, Priority: 1, MaxAttempts: 3, Stretch: 9}})
+	})
+	low := submission(1000, 12)
+	low.Steps[0].Checkpointing = true
+	w.ask(planner.Submit{To: planner.Address{Host: "h", Path: "/low/" + string(first), Key: "k"}, ID: first, Work: low})
+	w.step(10)
+	w.step(10)
+	is.Equal(w.running(), 12)
+	for _, u := range w.upstreams {
+		for _, r := range u.runs {
+			r.left = clock.Minute
+		}
+	}
+	second := keeper.JobID("00000000000000ac")
+	gang := keeper.Submission{Steps: []keeper.Step{{Count: 2, Gang: true, Need: unit.Resources{CPU: 3000}, Estimate: 500}}}
+	w.ask(planner.Submit{To: address(second), ID: second, Work: gang})
+	for range 20 {
+		w.step(30)
+	}
+	is.Equal(w.log.Jobs[second].Phase, keeper.Completed)
+	stopped := 0
+	for _, u := range w.upstreams {
+		for _, e := range u.ends {
+			if e.How == keeper.Stopped {
+				stopped++
+			}
+		}
+	}
+	is.Equal(stopped, 6) // no more than the gang needs
+}
+
+// TestFailingUpstreamIsLeftAlone lets one upstream fail what it starts.
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(c *keeper.Config) { c.Queues[0].Queue.MaxAttempts = 9 })
+	starts := map[unit.Upstream]int{}
+	for i := range 30 {
+		id := keeper.JobID(first[:14]) + keeper.JobID([]byte{'a' + byte(i/6), 'a' + byte(i%6)})
+		w.ask(planner.Submit{To: address(id), ID: id, Work: submission(100, 1)})
+		w.step(20)
+		w.step(20)
+		for _, u := range w.upstreams {
+			for _, key := range sorted(u.runs) {
+				starts[u.id]++
+				how := keeper.Done
+				if u.id == "a" {
+					how = keeper.FailedRun
+				}
+				u.end(key, how)
+			}
+		}
+		w.step(100)
+	}
+	is.True(starts["a"] <= 6)
+}
+
+// TestLateOrderAfterALapseIsWaitedFor takes an upstream away while a start has
+// no answer: the task isn't started elsewhere while the order may come late.
+func TestLateOrderAfterALapseIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)})
+	w.planner.Tick(w.now)
+	start := only[planner.Start](t, w)
+	sent := w.now
+	w.planner.Started(w.now, start.Run, start.To, planner.Unanswered{}, 0)
+	for w.now < sent+20*clock.Second {
+		w.now += 100
+		for _, u := range w.upstreams {
+			if u.id == start.To.ID {
+				w.planner.LookFailed(w.now, start.To, false)
+				continue
+			}
+			u.seq++
+			w.planner.Report(w.now, planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: u.seq}, func() {})
+		}
+		w.planner.Tick(w.now)
+		_, effects := w.planner.Take()
+		for _, e := range effects {
+			if s, ok := e.(planner.Start); ok {
+				is.True(w.now-sent > 12*clock.Second)
+				is.Equal(s.Run.Number, 2)
+				return
+			}
+		}
+	}
+	t.Fatal("the task was never started again")
+}
+
+func TestFailedJobIsShownAfterItsAttempts(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)})
+	attempts := 0
+	for range 200 {
+		w.step(50)
+		for _, u := range w.upstreams {
+			for _, key := range sorted(u.runs) {
+				attempts++
+				u.end(key, keeper.FailedRun)
+			}
+		}
+	}
+	is.Equal(attempts, 3)
+	is.Equal(w.log.Jobs[first].Phase, keeper.Failed)
+}
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -47,7 +47,10 @@
 	rng   *rand.Rand
 	broke breakage
 	first []unit.Instance
-	nodes []*simNode
+	// contacts and voters are those of the cores' configuration.
+	contacts []unit.Instance
+	voters   int
+	nodes    []*simNode
 	// flying are messages on their way.
 	flying []flight
 	cut    map[[2]unit.Instance]bool
@@ -226,7 +229,7 @@
 	st := n.disk.synced
 	st.Entries = slices.Clone(st.Entries)
 	n.core = NewCore(CoreConfig{
-		Self: n.disk.member, Bootstrap: n.sim.first, Heartbeat: simHeartbeat, Election: simElection,
+		Self: n.disk.member, Bootstrap: n.sim.first, Contacts: n.sim.contacts, Voters: n.sim.voters, Heartbeat: simHeartbeat, Election: simElection,
 		DeadAfter: simDeadAfter, MaxInflight: 4, MaxMessageBytes: 100, Seed: n.sim.lives, Life: n.sim.lives,
 		faults: n.sim.broke.core,
 	}, st, n.local())
