--- a/instance/tcp_test.go
+++ b/instance/tcp_test.go
@@ -130,6 +130,7 @@
 		"method beyond": {0, 0, 0, 14, 1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 9, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			c, err := net.Dial("tcp", string(b.Self()))
 			is.NoErr(err)
 			defer c.Close()
