planner: order no longer leases on an upstream that doesn't answer

Each look at an upstream that had vanished ordered a longer lease, which might have arrived; so its leases never surely lapsed, and its tasks were never started elsewhere. Ruled out: stops that never get an answer (they are only repeated), the wait for late orders (12.5 s). Change: a look at a failing upstream carries no lease.

--- a/planner/look.go
+++ b/planner/look.go
@@ -28,7 +28,12 @@
 	if h == nil || h.dead {
 		return Look{}, false
 	}
-	l := Look{To: h.target(), Noted: h.Noted, Expires: h.lease(p.now, p.cfg.MaxHold)}
+	l := Look{To: h.target(), Noted: h.Noted}
+	if !h.failing {
+		// An upstream that doesn't answer isn't given a longer lease: the look
+		// may reach it, and its runs would never surely end.
+		l.Expires = h.lease(p.now, p.cfg.MaxHold)
+	}
 	if h.claimed && !h.failing {
 		l.Wait = lookWait
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -357,3 +357,28 @@
 	is.Equal(attempts, 3)
 	is.Equal(w.log.Jobs[first].Phase, keeper.Failed)
 }
+
+// TestRunsOfAVanishedUpstreamStartElsewhere takes an upstream away for good
+// while the holder goes on looking for it.
+func TestRunsOfAVanishedUpstreamStartElsewhere(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)})
+	w.step(10)
+	w.step(10)
+	is.Equal(w.running(), 1)
+	for _, u := range w.upstreams {
+		for _, r := range u.runs {
+			r.left = clock.Minute
+			u.up = false
+		}
+	}
+	vanished := w.now
+	for w.now < vanished+2*maxHold {
+		w.step(50)
+		if len(w.begun) == 2 {
+			return
+		}
+	}
+	t.Fatal("the task was never started again")
+}
