--- a/planner/host.go
+++ b/planner/host.go
@@ -217,6 +217,7 @@
 	}
 	p.record(keeper.RemoveUpstream{ID: h.ID, Life: h.Life})
 	delete(p.hosts, h.ID)
+	maps.DeleteFunc(p.runs, func(_ keeper.RunKey, r *run) bool { return r.stray && r.host == h.ID })
 }
 
 // Leave takes an upstream's goodbye. Only one that was known to drain has
