--- a/driver/log.go
+++ b/driver/log.go
@@ -110,7 +110,7 @@
 	if a.Code == planner.OK {
 		return
 	}
-	fields := logrus.Fields{"Code": a.Code, "Reason": a.Why, "RetryAfter": a.RetryAfter}
+	fields := logrus.Fields{"Code": a.Code.String(), "Reason": a.Why, "RetryAfter": a.RetryAfter}
 	switch r := r.(type) {
 	case planner.Submit:
 		fields[logger.FieldRequest], fields["Path"] = r.ID, r.To.Path
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -63,14 +63,13 @@
 type Forwarder struct {
 	cfg  Config
 	done chan struct{}
-	// group holds the goroutines that end tries.
-	group errgroup.Group
 
 	mu     sync.Mutex
 	holder unit.Instance
-	// term is that of the holder; changed is closed when there is another one.
-	term    replicator.Term
-	changed chan struct{}
+	// term is that of the holder; epoch ends when there is another one.
+	term     replicator.Term
+	epoch    context.Context
+	endEpoch context.CancelFunc
 	// known are all instances that may hold the domain.
 	known  []unit.Instance
 	next   int
@@ -80,7 +79,9 @@
 
 // New returns a forwarder.
 func New(c Config) *Forwarder {
-	return &Forwarder{cfg: c, known: slices.Clone(c.Contacts), next: rand.IntN(max(len(c.Contacts), 1)), done: make(chan struct{}), changed: make(chan struct{})}
+	f := &Forwarder{cfg: c, known: slices.Clone(c.Contacts), next: rand.IntN(max(len(c.Contacts), 1)), done: make(chan struct{})}
+	f.epoch, f.endEpoch = context.WithCancel(context.Background())
+	return f
 }
 
 // Run attends at all instances that may hold the domain until ctx ends, so that
@@ -200,22 +201,14 @@
 // try asks the holder, or the next instance that may know it. It ends when
 // another holder becomes known.
 func (f *Forwarder) try(ctx context.Context, body []byte) (planner.Reply, error) {
-	to, changed := f.pick()
+	to, epoch := f.pick()
 	if to == "" {
 		return planner.Reply{}, errNoHolder
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watched := make(chan struct{})
-	defer close(watched)
-	f.group.Go(func() error {
-		select {
-		case <-changed:
-			cancel(errHolderChanged)
-		case <-watched:
-		}
-		return nil
-	})
+	stop := context.AfterFunc(epoch, func() { cancel(errHolderChanged) })
+	defer stop()
 	return f.call(ctx, to, body)
 }
 
@@ -239,19 +232,19 @@
 	return e.Reply, nil
 }
 
-// pick returns the holder, or the next instance that may know it, and what is
-// closed when another holder becomes known.
-func (f *Forwarder) pick() (unit.Instance, <-chan struct{}) {
+// pick returns the holder, or the next instance that may know it, and what ends
+// when another holder becomes known.
+func (f *Forwarder) pick() (unit.Instance, context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.holder != "" {
-		return f.holder, f.changed
+		return f.holder, f.epoch
 	}
 	if len(f.known) == 0 {
-		return "", f.changed
+		return "", f.epoch
 	}
 	f.next = (f.next + 1) % len(f.known)
-	return f.known[f.next], f.changed
+	return f.known[f.next], f.epoch
 }
 
 func (f *Forwarder) forget(id unit.Instance) {
@@ -282,8 +275,8 @@
 		if f.cfg.Logger != nil {
 			f.cfg.Logger.WithFields(logrus.Fields{"Holder": holder, "Term": e.Term, "From": from}).Info("found the holder of the domain")
 		}
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.endEpoch()
+		f.epoch, f.endEpoch = context.WithCancel(context.Background())
 	}
 	f.holder, f.term = holder, e.Term
 }
--- a/planner/request.go
+++ b/planner/request.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"strconv"
+
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/keeper"
@@ -131,6 +133,15 @@
 	Unknown
 )
 
+// String names the code in logs.
+func (c Code) String() string {
+	names := [...]string{"OK", "NoQueue", "Unauthorized", "Gone", "Invalid", "Overloaded", "Unavailable", "Unknown"}
+	if int(c) < len(names) {
+		return names[c]
+	}
+	return "Code" + strconv.Itoa(int(c))
+}
+
 // Reply answers a Request.
 type Reply struct {
 	_    struct{} `cbor:",toarray"`
