planner: end the runs of a former life only after a look at the new one

Ruled out: the unanswered start (it was answered), the fence (empty in a new life, and the token is the holder's own). Change: a new life ends no runs by its report; the first look does, for those it doesn't list.

--- a/planner/host.go
+++ b/planner/host.go
@@ -169,19 +169,15 @@
 	}
 }
 
-// newLife ends what ran in the former life of an upstream. A start whose answer
-// is missing may still be carried out in the new life, so its run stays live
-// until a stop was answered there.
+// newLife turns to a new life of an upstream. The first look at it ends the runs
+// that it doesn't list: an order to the former life may have reached this one,
+// since both have the same id. A start whose answer is missing may still do so;
+// its run stays live until a stop was answered there.
 func (p *Planner) newLife(h *host, life keeper.Life) {
 	for _, key := range h.SortedRuns() {
 		r := p.runs[key]
-		switch {
-		case r == nil || r.inherited && r.ackedAt == 0:
-			// The claim of the new life rules these out.
-		case r.isDoubtful():
+		if r != nil && r.isDoubtful() {
 			r.stopWanted, r.stopAt = true, p.now
-		default:
-			p.endRun(r, keeper.Lapsed, "", 0)
 		}
 	}
 	h.life = life
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -382,3 +382,24 @@
 	}
 	t.Fatal("the task was never started again")
 }
+
+// TestRunStartedByANewLifeIsKept lets a start reach the next life of an upstream
+// under the same id, before that life's first report.
+func TestRunStartedByANewLifeIsKept(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)})
+	w.planner.Tick(w.now)
+	start := only[planner.Start](t, w)
+	u := w.upstream(start.To.ID)
+	u.begin()
+	u.start(w.term, start)
+	w.planner.Started(w.now, start.Run, start.To, planner.Done{}, u.clock())
+	w.step(10)
+	is.Equal(w.running(), 1)
+	for range 30 {
+		w.step(100)
+	}
+	is.Equal(len(w.begun), 1)
+	is.Equal(w.log.Jobs[first].Phase, keeper.Completed)
+}
