--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -110,6 +110,20 @@
 	is.Equal(string(w.ask(planner.GetConfig{}).Document), "new")
 }
 
+func TestWithdrawnKeyIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	is.Equal(w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)}).Code, planner.OK)
+	c := config(0)
+	c.Version, c.Accounts[0].Keys = 3, []string{"new"}
+	is.Equal(w.ask(planner.PutConfig{Config: c}).Code, planner.OK)
+	is.Equal(w.ask(planner.Submit{To: address(first), ID: first, Work: submission(100, 1)}).Code, planner.Unauthorized)
+	is.Equal(w.ask(planner.Inspect{To: address(first), ID: first}).Code, planner.Unauthorized)
+	to := address(first)
+	to.Key = "new"
+	is.Equal(w.ask(planner.Inspect{To: to, ID: first}).Code, planner.OK)
+}
+
 func TestCancelStopsWhatRuns(t *testing.T) {
 	is := is.New(t)
 	w := quiet(t, func(*keeper.Config) {})
