--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -94,10 +94,10 @@
 	barriers   []func()
 	submitted  map[keeper.JobID]int
 	// due counts the jobs whose objective has passed, by queue.
-	due        []int
-	inTime     []int
-	starts     int
-	looks      int
+	due    []int
+	inTime []int
+	starts int
+	looks  int
 }
 
 // Times of the fake network and disk.
