relayer: have an instance in the upstream's zone carry out the holder's orders

Ruled out: the planner (BenchmarkLoad: 8 % of a core). Change: core machines offer to relay when they attend; the holder gives an order to one in the upstream's zone over the mesh and carries it out itself if there is none or it fails. An order says until when it may leave, on the relay's steady clock, so that a relay that stood still sends nothing old. Upstreams are told to report to an instance of their own zone.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -60,8 +60,10 @@
 	Mesh      instance.Caller
 	Clock     clock.Clock
 	Planner   planner.Config
-	Logger    logrus.FieldLogger
-	Metrics   tally.Scope
+	// Attended, if it is set, is told of each sign of life of an instance.
+	Attended func(planner.Attend)
+	Logger   logrus.FieldLogger
+	Metrics  tally.Scope
 }
 
 // Driver runs a session whenever this instance holds the domain.
@@ -173,8 +175,8 @@
 func (d *Driver) Ask(ctx context.Context, r planner.Request) Envelope {
 	st := d.cfg.Log.Status()
 	e := Envelope{Holder: st.Leader, Term: st.Term, Members: members(st.Membership)}
-	if a, ok := r.(planner.Attend); ok && a.Advises {
-		d.attend(a.From)
+	if a, ok := r.(planner.Attend); ok {
+		d.attend(a)
 	}
 	s := d.current()
 	if s == nil {
@@ -189,12 +191,18 @@
 	return e
 }
 
-// attend notes an instance that can ask for advice, for the session that may
-// begin here.
-func (d *Driver) attend(id unit.Instance) {
+// attend notes what an instance can do, also for the session that may begin
+// here.
+func (d *Driver) attend(a planner.Attend) {
+	if d.cfg.Attended != nil {
+		d.cfg.Attended(a)
+	}
+	if !a.Advises {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.attended[id] = d.cfg.Clock.Now()
+	d.attended[a.From] = d.cfg.Clock.Now()
 }
 
 // attendMemory is for how long an instance that attended is expected to be
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -53,10 +53,11 @@
 	Contacts []unit.Instance
 	Mesh     instance.Caller
 	Clock    clock.Clock
-	// Advises: the holder may send this instance questions for the advice
-	// service.
-	Advises bool
-	Logger  logrus.FieldLogger
+	// Attend is the sign of life for the holder, without From and Steady.
+	Attend planner.Attend
+	// Steady tells this instance's steady clock; nil if it relays nothing.
+	Steady func() clock.Millis
+	Logger logrus.FieldLogger
 }
 
 // Forwarder knows the way to the holder.
@@ -88,10 +89,9 @@
 // a new holder is known as soon as any of them knows it.
 func (f *Forwarder) Run(ctx context.Context) error {
 	defer close(f.done)
-	body := planner.EncodeRequest(planner.Attend{From: f.cfg.Self, Advises: f.cfg.Advises})
 	for ctx.Err() == nil {
 		wait := attendEvery
-		if !f.attend(ctx, body) {
+		if !f.attend(ctx) {
 			wait = attendSearch
 		}
 		_ = clock.Sleep(ctx, wait)
@@ -100,7 +100,13 @@
 }
 
 // attend goes one round and reports whether the holder answered.
-func (f *Forwarder) attend(ctx context.Context, body []byte) bool {
+func (f *Forwarder) attend(ctx context.Context) bool {
+	sign := f.cfg.Attend
+	sign.From = f.cfg.Self
+	if f.cfg.Steady != nil {
+		sign.Steady = f.cfg.Steady()
+	}
+	body := planner.EncodeRequest(sign)
 	ctx, cancel := context.WithTimeout(ctx, attendTimeout.Duration())
 	defer cancel()
 	f.mu.Lock()
--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -165,7 +165,7 @@
 // release gives back what a run took.
 func (s *State) release(j *Job, c EndRun) {
 	if h := s.Hosts[c.Upstream]; h != nil {
-		key := RunKey{c.Task, c.Number}
+		key := RunKey{Task: c.Task, Number: c.Number}
 		if held, ok := h.Runs[key]; ok {
 			h.Used = h.Used.Sub(held.Need)
 			delete(h.Runs, key)
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -122,7 +122,7 @@
 func (s *State) hold(j *Job, t TaskID, r *Run) {
 	need := s.NeedOf(&j.Work.Steps[t.Step])
 	if h := s.Hosts[r.Upstream]; h != nil {
-		h.Runs[RunKey{t, r.Number}] = Held{Need: need, Account: j.Account, Life: r.Life, At: r.At}
+		h.Runs[RunKey{Task: t, Number: r.Number}] = Held{Need: need, Account: j.Account, Life: r.Life, At: r.At}
 		h.Used = h.Used.Add(need)
 	}
 	s.Used[j.Account] = s.Used[j.Account].Add(need)
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -56,6 +56,7 @@
 
 // RunKey names a run.
 type RunKey struct {
+	_      struct{} `cbor:",toarray"`
 	Task   TaskID
 	Number int
 }
--- a/planner/effect.go
+++ b/planner/effect.go
@@ -12,6 +12,7 @@
 
 // Start orders an upstream to start a run.
 type Start struct {
+	_       struct{} `cbor:",toarray"`
 	Run     keeper.RunKey
 	To      Target
 	Spec    string
@@ -23,6 +24,7 @@
 
 // Stop orders an upstream to end a run.
 type Stop struct {
+	_   struct{} `cbor:",toarray"`
 	Run keeper.RunKey
 	To  Target
 }
@@ -47,7 +49,9 @@
 
 // Target is a life of an upstream that gets an order.
 type Target struct {
+	_       struct{} `cbor:",toarray"`
 	ID      unit.Upstream
+	Zone    unit.AvailabilityZone
 	Address string
 	Life    keeper.Life
 }
--- a/planner/host.go
+++ b/planner/host.go
@@ -18,8 +18,9 @@
 	// of the upstream's clock that ran ahead during a silence.
 	lapseMargin = 300 * clock.Millisecond
 	// lateOrder is how long after it was sent an order without an answer may
-	// still be carried out; the platform's pages bound it by 12 s.
-	lateOrder = 12500 * clock.Millisecond
+	// still be carried out: the platform's pages bound it by 12 s, to which the
+	// way over a relay adds up to 1 s.
+	lateOrder = 13500 * clock.Millisecond
 )
 
 // host is what the holder knows of an upstream beyond the state.
@@ -49,6 +50,8 @@
 	// lapseAt is when everything on it has surely ended, if nothing more is
 	// ordered.
 	lapseAt clock.Millis
+	// freed: it stands in the planner's list of upstreams with new room.
+	freed bool
 	// booked is what steps that come first wait to take, during a pass.
 	booked unit.Resources
 	record record
@@ -100,7 +103,7 @@
 }
 
 func (h *host) target() Target {
-	return Target{ID: h.ID, Address: h.Address, Life: h.Life}
+	return Target{ID: h.ID, Zone: h.Zone, Address: h.Address, Life: h.Life}
 }
 
 // isUsable reports whether new work may be started there.
--- a/planner/look.go
+++ b/planner/look.go
@@ -8,6 +8,7 @@
 
 // Look is the order that extends an upstream's lease and asks what runs there.
 type Look struct {
+	_  struct{} `cbor:",toarray"`
 	To Target
 	// Noted is the last end that is durably noted.
 	Noted   int64
@@ -42,6 +43,7 @@
 
 // Seen is an upstream's answer to a look.
 type Seen struct {
+	_     struct{} `cbor:",toarray"`
 	Life  keeper.Life
 	Clock clock.Millis
 	Runs  []SeenRun
@@ -50,6 +52,7 @@
 
 // SeenRun is a run that an upstream lists.
 type SeenRun struct {
+	_          struct{} `cbor:",toarray"`
 	Run        keeper.RunKey
 	Checkpoint string
 	// Percent is how far the run is.
@@ -58,6 +61,7 @@
 
 // SeenEnd is an end that an upstream lists, under its number.
 type SeenEnd struct {
+	_          struct{} `cbor:",toarray"`
 	Number     int64
 	Run        keeper.RunKey
 	How        keeper.How
--- a/planner/request.go
+++ b/planner/request.go
@@ -75,12 +75,17 @@
 	ID unit.Upstream
 }
 
-// Attend tells the holder of an entry instance, which can ask for advice.
+// Attend tells the holder of an instance and what it can do for it.
 type Attend struct {
 	_    struct{} `cbor:",toarray"`
 	From unit.Instance
 	// Advises: the instance takes questions for the advice service.
 	Advises bool
+	// Relays: the instance carries out orders to the upstreams of its zone.
+	Relays bool
+	Zone   unit.AvailabilityZone
+	// Steady is the instance's steady clock.
+	Steady clock.Millis
 }
 
 func (Submit) request()    {}
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -30,6 +30,7 @@
 	"github.com/chervilvane/chervilvane/planner"
 	"github.com/chervilvane/chervilvane/platform"
 	"github.com/chervilvane/chervilvane/recorder"
+	"github.com/chervilvane/chervilvane/relayer"
 	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -119,7 +120,11 @@
 	})
 	return forwarder.New(forwarder.Config{
 		Self: mesh.Self(), Contacts: s.Contacts, Mesh: mesh, Clock: clk, Logger: l,
-		Advises: s.AdviceAddress != "" && s.DataFolder == "",
+		Attend: planner.Attend{
+			Advises: s.AdviceAddress != "" && s.DataFolder == "",
+			Relays:  s.DataFolder != "", Zone: s.AvailabilityZone,
+		},
+		Steady: clock.Steady,
 	})
 }
 
@@ -153,8 +158,10 @@
 	if err != nil {
 		return nil, errors.CombineErrors(err, storage.Close())
 	}
+	relays := relayer.New(relayer.Config{Self: mesh.Self(), Mesh: mesh, Local: o, Clock: clk, Steady: clock.Steady, Logger: l, Metrics: m})
+	mesh.Handle(relayer.MethodOrder, relays.Serve)
 	d := driver.New(driver.Config{
-		Self: mesh.Self(), Log: node, State: state, Upstreams: o, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
+		Self: mesh.Self(), Log: node, State: state, Upstreams: relays, Attended: relays.Attended, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
 		Planner: planner.Config{MaxHold: s.MaxHold, Retention: s.Retention},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
@@ -217,12 +224,8 @@
 		d.add(s.ReadyAddress, routes)
 	}
 	if s.ControlAddress != "" {
-		c, err := platform.NewControl(f, s.ControlAddress)
-		if err != nil {
-			return nil, err
-		}
 		routes := mux.NewRouter()
-		c.Register(routes)
+		platform.NewControl(f, s.ControlAddress, s.AvailabilityZone).Register(routes)
 		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
 		d.add(s.ControlAddress, d.withClose(routes))
 	}
