--- a/planner/plan.go
+++ b/planner/plan.go
@@ -54,6 +54,9 @@
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
+	for _, h := range p.freed {
+		h.freed = false
+	}
 	p.freed = p.freed[:0]
 	clear(p.eased)
 	p.sendQuestions()
@@ -145,7 +148,8 @@
 // free notes that an upstream has room that it hadn't before.
 func (p *Planner) free(h *host) {
 	p.dirty = true
-	if len(p.freed) == 0 || p.freed[len(p.freed)-1] != h {
+	if !h.freed {
+		h.freed = true
 		p.freed = append(p.freed, h)
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -417,3 +417,51 @@
 	is.Equal(len(w.begun), 1)
 	is.Equal(w.log.Jobs[first].Phase, keeper.Completed)
 }
+
+// TestRoomThatOpensTwiceIsGivenOnce has two runs end on one upstream with an end
+// on another one between them, while a step waits for room.
+func TestRoomThatOpensTwiceIsGivenOnce(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(2000, 6)})
+	w.planner.Tick(w.now)
+	running := map[unit.Upstream][]planner.Start{}
+	for _, s := range startsOf(w) {
+		running[s.To.ID] = append(running[s.To.ID], s)
+	}
+	second := keeper.JobID("00000000000000ac")
+	w.ask(planner.Submit{To: address(second), ID: second, Work: submission(2000, 6)})
+	w.planner.Tick(w.now)
+	endOn(w, "a", running["a"][:1], running["a"][1:])
+	endOn(w, "b", running["b"][:1], running["b"][1:])
+	endOn(w, "a", running["a"], nil)
+	w.planner.Tick(w.now)
+	for _, h := range w.planner.State().Hosts {
+		is.True(h.Used.Fits(h.Capacity)) // no upstream gets more than it holds
+	}
+}
+
+// startsOf returns the starts that were decided and lets the upstreams answer.
+func startsOf(w *world) []planner.Start {
+	var list []planner.Start
+	_, effects := w.planner.Take()
+	for _, e := range effects {
+		if s, ok := e.(planner.Start); ok {
+			w.planner.Started(w.now, s.Run, s.To, planner.Done{}, 0)
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// endOn lets an upstream list the end of some runs, and the others as running.
+func endOn(w *world, id unit.Upstream, ended, running []planner.Start) {
+	seen := planner.Seen{Life: 1, Clock: w.upstream(id).clock()}
+	for i, s := range ended {
+		seen.Ends = append(seen.Ends, planner.SeenEnd{Number: int64(i) + 1, Run: s.Run, How: keeper.Done})
+	}
+	for _, s := range running {
+		seen.Runs = append(seen.Runs, planner.SeenRun{Run: s.Run})
+	}
+	w.planner.Looked(w.now, w.now, planner.Target{ID: id, Life: 1}, seen)
+}
