planner: a gang prefers upstreams on which its tickets are valid

The holder's status shows 11 to 19 gangs waiting and as many instances asking for advice: a question takes 0.4 to 0.8 s, tickets last 2.5 s, and by the answer another upstream was the better choice, for which there was no ticket, so the gang asked again. Ruled out: too few good upstreams (122 are good for a gang that needs 8). Change: upstreams with a valid ticket come first; a renewal takes along tickets that would end before its answer. TestGangStartsOnceItsTicketsAreRenewed fails without it.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -222,10 +222,19 @@
 	host  *host
 	room  int
 	score float64
+	// ticketed: a start there needs no question first.
+	ticketed bool
 }
 
-// compare orders candidates, the best first.
+// compare orders candidates, the best first. Those with a ticket come before
+// the others: what is chosen then stays the same while tickets are renewed.
 func (c candidate) compare(o candidate) int {
+	if c.ticketed != o.ticketed {
+		if c.ticketed {
+			return -1
+		}
+		return 1
+	}
 	if c.score != o.score {
 		return cmp.Compare(c.score, o.score)
 	}
@@ -270,7 +279,7 @@
 		n = min(n, s.spec.AntiAffinity-s.countOn(h.ID))
 	}
 	if n > 0 {
-		list = append(list, candidate{h, n, p.score(s, h, need)})
+		list = append(list, candidate{h, n, p.score(s, h, need), p.hasTicket(s, h)})
 	}
 	return list
 }
@@ -392,13 +401,7 @@
 		}
 		return
 	}
-	var again []*host
-	for _, h := range chosen {
-		if !p.hasTicket(s, h) {
-			again = append(again, h)
-		}
-	}
-	if len(again) > 0 {
+	if again := p.unticketed(s, chosen); len(again) > 0 {
 		for _, h := range chosen {
 			p.book(s, h, 1)
 		}
@@ -411,6 +414,23 @@
 	}
 }
 
+// unticketed returns the upstreams of a gang whose tickets have to be renewed
+// before it can start: if any, also those whose tickets would end meanwhile.
+func (p *Planner) unticketed(s *step, chosen []*host) []*host {
+	if !slices.ContainsFunc(chosen, func(h *host) bool { return !p.hasTicket(s, h) }) {
+		return nil
+	}
+	q := s.job.Queue
+	answered := p.now + clock.Millis(q.AdviceBase+q.AdviceEach*float64(len(chosen))) + ticketMargin
+	var again []*host
+	for _, h := range chosen {
+		if s.advice.good[h.ID].until <= answered+ticketMargin && !slices.Contains(again, h) {
+			again = append(again, h)
+		}
+	}
+	return again
+}
+
 // fillGang chooses an upstream for each task of a gang. A gang that is fast on
 // one rack gets one if one has room.
 func (p *Planner) fillGang(s *step, list []candidate, n int) ([]*host, bool) {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -465,3 +465,41 @@
 	}
 	w.planner.Looked(w.now, w.now, planner.Target{ID: id, Life: 1}, seen)
 }
+
+// TestGangStartsOnceItsTicketsAreRenewed lets a better upstream have room while
+// a gang's tickets are renewed: it starts where it has tickets and doesn't ask
+// again.
+func TestGangStartsOnceItsTicketsAreRenewed(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(c *keeper.Config) {
+		g := c.Queues[0]
+		g.PathPrefix, g.Queue.Name, g.Queue.Advised, g.Queue.TicketLife = "/g/", "g", true, 2000
+		c.Queues = append(c.Queues, g)
+	})
+	w.planner.Handle(w.now, planner.Attend{From: "e1", Advises: true}, func(planner.Reply) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: submission(2000, 6)})
+	w.planner.Tick(w.now)
+	on := map[unit.Upstream][]planner.Start{}
+	for _, s := range startsOf(w) {
+		on[s.To.ID] = append(on[s.To.ID], s)
+	}
+	gang := keeper.JobID("00000000000000ac")
+	w.planner.Handle(w.now, planner.Submit{
+		To: planner.Address{Host: "h", Path: "/g/" + string(gang), Key: "k"}, ID: gang,
+		Work: keeper.Submission{Steps: []keeper.Step{{Count: 2, Gang: true, Need: unit.Resources{CPU: 2000}}}},
+	}, func(planner.Reply) {})
+	w.planner.Tick(w.now)
+	all := map[unit.Upstream]string{"a": "1", "b": "1", "c": "1"}
+	w.planner.Advised(w.now, only[planner.Advise](t, w), all, 2000, nil)
+	w.now += 3000 // the tickets end
+	w.planner.Handle(w.now, planner.Attend{From: "e1", Advises: true}, func(planner.Reply) {})
+	endOn(w, "a", on["a"], nil)
+	endOn(w, "b", on["b"], nil)
+	w.planner.Tick(w.now)
+	again := only[planner.Advise](t, w)
+	// On c one task ends: it leaves no room over, so it would be chosen first.
+	endOn(w, "c", on["c"][:1], on["c"][1:])
+	w.planner.Advised(w.now, again, all, 2000, nil)
+	w.planner.Tick(w.now)
+	is.Equal(len(startsOf(w)), 2)
+}
