--- a/instance/tcp.go
+++ b/instance/tcp.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -39,11 +40,15 @@
 
 // TCPConfig configures a TCP mesh. Logger and Metrics may be nil.
 type TCPConfig struct {
-	// Listen is the mesh address, as IP:PORT. It is also the name under which
-	// peers know this instance.
-	Listen  string
-	Logger  logrus.FieldLogger
-	Metrics tally.Scope
+	// Listen is where the mesh is bound, as IP:PORT.
+	Listen string
+	// Advertise is the address that peers dial, and the name under which they
+	// know this instance; empty is the bound one. If it differs, connections to
+	// peers leave from the bound IP, so that what stands between can tell them
+	// apart.
+	Advertise string
+	Logger    logrus.FieldLogger
+	Metrics   tally.Scope
 }
 
 // TCP is a mesh over plain TCP, for a closed network in which instances have
@@ -92,7 +97,9 @@
 }
 
 // Self returns the name of this instance.
-func (t *TCP) Self() unit.Instance { return unit.Instance(t.listener.Addr().String()) }
+func (t *TCP) Self() unit.Instance {
+	return unit.Instance(cmp.Or(t.cfg.Advertise, t.listener.Addr().String()))
+}
 
 // Handle sets the handler of a method, for calls and for one-way messages. It
 // is called before Run. One-way messages of a peer are handled one at a time
@@ -272,7 +279,7 @@
 func (l *link) dial() {
 	ctx, cancel := context.WithTimeout(l.mesh.ctx, tcpDialTimeout)
 	defer cancel()
-	var d net.Dialer
+	d := l.mesh.dialer()
 	c, err := d.DialContext(ctx, "tcp", string(l.to))
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -289,6 +296,14 @@
 	w.run(func() { l.lost(w) })
 }
 
+func (t *TCP) dialer() *net.Dialer {
+	bound, ok := t.listener.Addr().(*net.TCPAddr)
+	if !ok || t.cfg.Advertise == "" || t.cfg.Advertise == bound.String() {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: bound.IP}}
+}
+
 func (l *link) lost(w *wire) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/planner/host.go
+++ b/planner/host.go
@@ -80,6 +80,27 @@
 	h.setLapse()
 }
 
+// orderJitter bounds by how much the answer to an order may be older than what
+// was heard last: the time for which the driver waits for one.
+const orderJitter = 1 * clock.Second
+
+// isReborn reports whether a clock in the answer to an order is that of a new
+// life.
+func (h *host) isReborn(clockAt clock.Millis) bool {
+	return h.hasTime && clockAt > 0 && clockAt < h.clockAt-orderJitter
+}
+
+// hearOrder notes the clock in the answer to an order. One that went back tells
+// of a new life, which the next look finds.
+func (p *Planner) hearOrder(h *host, clockAt clock.Millis) {
+	if h.isReborn(clockAt) {
+		h.failing = true
+		p.peek(h)
+		return
+	}
+	h.hear(p.now, clockAt)
+}
+
 func (h *host) setLapse() {
 	if !h.hasTime || h.expires == 0 {
 		return
--- a/planner/look.go
+++ b/planner/look.go
@@ -29,8 +29,11 @@
 	if h == nil || h.dead {
 		return Look{}, false
 	}
-	l := Look{To: h.target(), Noted: h.Noted}
+	l := Look{To: h.target()}
 	if !h.failing {
+		// A new life counts its ends anew. Whether there is one isn't known after a
+		// failure, and the number of the former life would make it forget its own.
+		l.Noted = h.Noted
 		// An upstream that doesn't answer isn't given a longer lease: the look
 		// may reach it, and its runs would never surely end.
 		l.Expires = h.lease(p.now, p.cfg.MaxHold)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -503,3 +503,39 @@
 	w.planner.Tick(w.now)
 	is.Equal(len(startsOf(w)), 2)
 }
+
+// TestEndsOfANewLifeAreNotForgotten: the number of the last noted end is sent
+// only to the life that it belongs to.
+func TestEndsOfANewLifeAreNotForgotten(t *testing.T) {
+	for name, c := range map[string]struct {
+		doubt func(w *world, s planner.Start)
+		noted int64
+	}{
+		"a sound upstream": {doubt: func(*world, planner.Start) {}, noted: 7},
+		"a look failed":    {doubt: func(w *world, s planner.Start) { w.planner.LookFailed(w.now, s.To, false) }},
+		"its clock went back": {doubt: func(w *world, s planner.Start) {
+			w.planner.Started(w.now, s.Run, s.To, planner.Done{}, 1)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			w.now += 20 * clock.Second
+			for _, u := range w.upstreams {
+				u.seq = 99
+				w.planner.Report(w.now, planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: 99}, func() {})
+			}
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 2)})
+			w.planner.Tick(w.now)
+			starts := startsOf(w)
+			w.planner.Looked(w.now, w.now, starts[0].To, planner.Seen{
+				Life: 1, Clock: w.upstream(starts[0].To.ID).clock(), Ends: []planner.SeenEnd{{Number: 7, Run: starts[0].Run, How: keeper.Done}},
+			})
+			is.Equal(starts[1].To.ID, starts[0].To.ID)
+			c.doubt(w, starts[1])
+			l, ok := w.planner.NextLook(w.now, starts[0].To.ID)
+			is.True(ok)
+			is.Equal(l.Noted, c.noted)
+		})
+	}
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -87,7 +87,7 @@
 func (p *Planner) Started(now clock.Millis, key keeper.RunKey, to Target, a Answer, clockAt clock.Millis) {
 	p.now = max(p.now, now)
 	if h := p.hosts[to.ID]; h != nil && h.Life == to.Life {
-		h.hear(p.now, clockAt)
+		p.hearOrder(h, clockAt)
 	}
 	r := p.runs[key]
 	if r == nil {
@@ -152,7 +152,7 @@
 		return
 	}
 	if h := p.hosts[r.host]; h != nil && h.Life == r.life {
-		h.hear(p.now, clockAt)
+		p.hearOrder(h, clockAt)
 	}
 	r.stopPending = false
 	if _, ok := a.(Done); ok {
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -64,7 +65,7 @@
 const methodLog instance.Method = "log.message"
 
 // runPlatform runs an instance of a domain under the platform's settings.
-func runPlatform(ctx context.Context, stderr io.Writer) error {
+func runPlatform(ctx context.Context, meshListen string, stderr io.Writer) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return &usageError{err}
@@ -72,13 +73,17 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryLimit) * memoryShare / 100)
 	}
-	return Run(ctx, newDomain(settings, stderr))
+	return Run(ctx, newDomain(settings, meshBinding(meshListen), stderr))
 }
 
+// meshBinding is where the mesh is bound; empty is the address by which peers
+// know this instance.
+type meshBinding string
+
 // newDomain returns an instance of a domain as an fx application.
-func newDomain(settings platform.Settings, logTo io.Writer) *fx.App {
+func newDomain(settings platform.Settings, binding meshBinding, logTo io.Writer) *fx.App {
 	return fx.New(
-		fx.Supply(settings, clock.Clock{}, domainOutput{logger.NewBounded(logTo)}),
+		fx.Supply(settings, binding, clock.Clock{}, domainOutput{logger.NewBounded(logTo)}),
 		fx.Provide(
 			newDomainLogger, newMeter, newDomainMesh, newDomainOrders, newDomainForwarder,
 			newHealth, newDomainCore, newDomainServers,
@@ -98,8 +103,8 @@
 	return l, l.WithFields(logrus.Fields{logger.FieldInstance: s.Name, logger.FieldZone: s.AvailabilityZone})
 }
 
-func newDomainMesh(s platform.Settings, l logrus.FieldLogger, m tally.Scope) (*instance.TCP, error) {
-	return instance.NewTCP(instance.TCPConfig{Listen: s.MeshAddress, Logger: l, Metrics: m})
+func newDomainMesh(s platform.Settings, b meshBinding, l logrus.FieldLogger, m tally.Scope) (*instance.TCP, error) {
+	return instance.NewTCP(instance.TCPConfig{Listen: cmp.Or(string(b), s.MeshAddress), Advertise: s.MeshAddress, Logger: l, Metrics: m})
 }
 
 func newDomainOrders(s platform.Settings, l logrus.FieldLogger) *platform.Orders {
--- a/runner/main.go
+++ b/runner/main.go
@@ -44,6 +44,7 @@
 	settingsFile := flags.String("settings", "", "the instance's settings `FILE` (YAML)")
 	dev := flags.Bool("dev", false, "run one instance with a temporary data folder, a stand-in upstream and a sample text")
 	onPlatform := flags.Bool("platform", false, "run an instance of a scheduling domain under the platform's settings")
+	meshListen := flags.String("mesh-listen", "", "with -platform, bind the mesh to `ADDRESS` rather than to the address by which peers know this instance")
 	check := flags.Bool("check", false, "check the settings and exit")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("CHERVILVANED")); err != nil {
 		return &usageError{err}
@@ -52,7 +53,7 @@
 		return runDev(ctx, stderr)
 	}
 	if *onPlatform {
-		return runPlatform(ctx, stderr)
+		return runPlatform(ctx, *meshListen, stderr)
 	}
 	settings, err := load(*settingsFile, stderr)
 	if err != nil || *check {
