planner, keeper: a late report doesn't bring a former life back

Ruled out: a relay's late order (the starts were answered within 2 ms). Change: the state keeps the latest life of each former upstream that has surely ended, at most 4,096 of them, and older reports are ignored, also by the next holder; an answered start that no list of its life has shown is kept until the new life was looked at. Two tests fail without it.

--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -50,6 +50,10 @@
 // removeUpstream ends the runs of a life. The upstream itself stays if it has
 // begun a new life.
 func (s *State) removeUpstream(c RemoveUpstream) {
+	if c.Over > 0 {
+		s.Over[c.ID] = max(s.Over[c.ID], c.Over)
+		s.trimOver()
+	}
 	h := s.Hosts[c.ID]
 	if h == nil {
 		return
@@ -64,6 +68,24 @@
 	}
 }
 
+// maxOver bounds the former upstreams that are remembered: some days' worth of
+// restarts. A late report comes within seconds.
+const maxOver = 4096
+
+// trimOver forgets the former upstream whose life began first.
+func (s *State) trimOver() {
+	if len(s.Over) <= maxOver {
+		return
+	}
+	var oldest unit.Upstream
+	for id, life := range s.Over {
+		if o, found := s.Over[oldest]; !found || life < o || life == o && id < oldest {
+			oldest = id
+		}
+	}
+	delete(s.Over, oldest)
+}
+
 func (s *State) accept(c AcceptJob) {
 	if s.Jobs[c.ID] != nil {
 		return
--- a/keeper/command.go
+++ b/keeper/command.go
@@ -30,6 +30,8 @@
 	_    struct{} `cbor:",toarray"`
 	ID   unit.Upstream
 	Life Life
+	// Over is the latest life that has surely ended; 0 if this one may come back.
+	Over Life
 }
 
 // AcceptJob records an accepted job.
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -20,6 +20,9 @@
 	Config Config
 	Hosts  map[unit.Upstream]*Host
 	Jobs   map[JobID]*Job
+	// Over is the latest life of each former upstream that has surely ended, so
+	// that a late report doesn't bring it back.
+	Over map[unit.Upstream]Life
 	// Used is what each account has in live runs.
 	Used map[unit.ClientAccount]unit.Resources
 }
@@ -31,6 +34,7 @@
 	return &State{
 		Hosts: map[unit.Upstream]*Host{},
 		Jobs:  map[JobID]*Job{},
+		Over:  map[unit.Upstream]Life{},
 		Used:  map[unit.ClientAccount]unit.Resources{},
 	}
 }
@@ -56,6 +60,7 @@
 	Config    Config
 	Upstreams []Upstream
 	Jobs      []*Job
+	Over      map[unit.Upstream]Life
 }
 
 // Snapshot implements replicator.Machine.
@@ -63,7 +68,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out snapshot
-	out.Config = s.Config
+	out.Config, out.Over = s.Config, s.Over
 	for _, h := range s.Hosts {
 		out.Upstreams = append(out.Upstreams, h.Upstream)
 	}
@@ -95,7 +100,10 @@
 	defer s.mu.Unlock()
 	s.Config = in.Config
 	s.Hosts, s.Jobs = map[unit.Upstream]*Host{}, map[JobID]*Job{}
-	s.Used = map[unit.ClientAccount]unit.Resources{}
+	s.Used, s.Over = map[unit.ClientAccount]unit.Resources{}, in.Over
+	if s.Over == nil {
+		s.Over = map[unit.Upstream]Life{}
+	}
 	for _, u := range in.Upstreams {
 		s.Hosts[u.ID] = &Host{Upstream: u, Runs: map[RunKey]Held{}}
 	}
--- a/planner/host.go
+++ b/planner/host.go
@@ -34,9 +34,12 @@
 	claimed bool
 	// failing: its last orders or looks got no sound answer.
 	failing bool
-	// dead: its life has ended, and it stays for runs that a late order may
-	// still start in its next life.
+	// dead: its life has ended, and it stays for runs that may have started in
+	// its next life. over is the latest life that has surely ended.
 	dead bool
+	over keeper.Life
+	// reborn: a new life under the same id has answered in its place.
+	reborn bool
 	// leaving: it said goodbye, which may be a late message of a former life.
 	leaving bool
 	// peeking: a look that doesn't wait is under way.
@@ -151,7 +154,8 @@
 	p.now = max(p.now, now)
 	u := r.Upstream
 	h := p.hosts[u.ID]
-	if h != nil && (u.Life < h.Life || u.Life == h.Life && r.Seq <= h.seq && h.seq > 0) {
+	late := h != nil && (u.Life < h.Life || u.Life <= h.over || u.Life == h.Life && r.Seq <= h.seq && h.seq > 0)
+	if late || u.Life <= p.state.Over[u.ID] {
 		// A late report of a former life, or one that a later one overtook.
 		p.effect(Settle{Reply: done})
 		return
@@ -191,7 +195,7 @@
 func (p *Planner) endOthersAt(u keeper.Upstream) {
 	for _, o := range p.sortedHosts() {
 		if o.ID != u.ID && o.Address == u.Address && o.Life < u.Life {
-			p.removeHost(o)
+			p.buryHost(o, o.Life)
 		}
 	}
 }
@@ -209,7 +213,7 @@
 	}
 	h.life = life
 	h.seq = 0
-	h.claimed, h.failing, h.dead, h.peeking = false, false, false, false
+	h.claimed, h.failing, h.dead, h.reborn, h.peeking = false, false, false, false, false
 	h.hasTime, h.clockAt, h.expires = false, 0, 0
 	h.lapseAt = p.now + slowed(p.cfg.MaxHold) + lapseMargin
 	h.record = record{}
@@ -219,17 +223,28 @@
 // lapse ends the runs of an upstream whose life or leases have ended. A start
 // without an answer may still be carried out by a new life of the upstream,
 // whose clock starts anew; its run stays live until no order can be that late.
+// If a new life under the same id has answered, that holds also for a start that
+// was answered, unless the former life listed the run: the answer may have been
+// the new one's.
 func (p *Planner) lapse(h *host) {
 	for _, key := range h.SortedRuns() {
 		r := p.runs[key]
-		if r == nil || r.ackedAt == 0 && p.now-r.orderedAt(p.cfg.Since) <= lateOrder {
+		sure := r != nil && (r.listed || r.ackedAt > 0 && (!h.reborn || p.now > h.lapseAt))
+		if r == nil || !sure && p.now-r.orderedAt(p.cfg.Since) <= lateOrder {
 			continue
 		}
 		p.endRun(r, keeper.Lapsed, "", 0)
 	}
 }
 
-// removeHost ends an upstream whose life has surely ended.
+// buryHost ends an upstream of which all lives up to the given one have surely
+// ended.
+func (p *Planner) buryHost(h *host, over keeper.Life) {
+	h.over = max(h.over, over)
+	p.removeHost(h)
+}
+
+// removeHost ends an upstream whose life or leases have surely ended.
 func (p *Planner) removeHost(h *host) {
 	h.dead = true
 	p.lapse(h)
@@ -238,7 +253,7 @@
 	if len(h.Runs) > 0 {
 		return
 	}
-	p.record(keeper.RemoveUpstream{ID: h.ID, Life: h.Life})
+	p.record(keeper.RemoveUpstream{ID: h.ID, Life: h.Life, Over: h.over})
 	delete(p.hosts, h.ID)
 	for key := range p.strays[h.ID] {
 		delete(p.runs, key)
@@ -252,7 +267,7 @@
 	p.now = max(p.now, now)
 	if h := p.hosts[id]; h != nil {
 		if h.Draining {
-			p.removeHost(h)
+			p.buryHost(h, h.Life)
 		} else {
 			h.leaving = true
 		}
--- a/planner/look.go
+++ b/planner/look.go
@@ -82,7 +82,8 @@
 		if s.Life > h.Life {
 			// The next report describes the new life; nothing is started there
 			// before it.
-			p.removeHost(h)
+			h.reborn = true
+			p.buryHost(h, s.Life-1)
 		}
 		return
 	}
@@ -142,6 +143,9 @@
 		r.ackedAt = p.now
 		r.unanswered = false
 	}
+	if r.life == h.Life {
+		r.listed = true
+	}
 	r.watch(p.now, s)
 }
 
@@ -178,6 +182,6 @@
 	}
 	h.failing = true
 	if life {
-		p.removeHost(h)
+		p.buryHost(h, h.Life)
 	}
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -539,3 +539,57 @@
 		})
 	}
 }
+
+// TestFormerLifeDoesNotComeBack: a look finds a new life, then a late report of
+// the former one arrives.
+func TestFormerLifeDoesNotComeBack(t *testing.T) {
+	for name, again := range map[string]func(w *world){
+		"the same holder": func(*world) {},
+		"a new holder":    func(w *world) { w.commit(); w.takeOver() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			u := w.upstreams[0]
+			former := u.describe()
+			w.planner.Looked(w.now, w.now, planner.Target{ID: u.id, Life: 1}, planner.Seen{Life: 5, Clock: 1})
+			again(w)
+			w.planner.Report(w.now, planner.Report{Upstream: former, Clock: u.clock(), Seq: 500}, func() {})
+			for _, o := range w.upstreams[1:] {
+				o.draining = true
+				o.seq = 500
+				w.planner.Report(w.now, planner.Report{Upstream: o.describe(), Clock: o.clock(), Seq: 501}, func() {})
+			}
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 1)})
+			w.planner.Tick(w.now)
+			is.Equal(len(startsOf(w)), 0)
+		})
+	}
+}
+
+// TestStartThatANewLifeMayHaveAnsweredIsKept: the answer to a start came from a
+// new life under the same id, which a look finds only afterwards.
+func TestStartThatANewLifeMayHaveAnsweredIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed bool
+		starts int
+	}{
+		"never listed":              {starts: 0},
+		"listed by the former life": {listed: true, starts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 1)})
+			w.planner.Tick(w.now)
+			s := startsOf(w)[0]
+			if c.listed {
+				endOn(w, s.To.ID, nil, []planner.Start{s})
+			}
+			w.planner.Looked(w.now, w.now, s.To, planner.Seen{Life: 5, Clock: 1})
+			w.now += 100
+			w.planner.Tick(w.now)
+			is.Equal(len(startsOf(w)), c.starts)
+		})
+	}
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -18,6 +18,8 @@
 	inherited bool
 	// stray: the run isn't in the state; it only has to be stopped.
 	stray bool
+	// listed: the life that it was ordered on has listed it.
+	listed bool
 	// resumed: it goes on from a checkpoint.
 	resumed bool
 	// sentAt is when the order to start was last handed out.
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -30,6 +30,8 @@
 
 	upstreams []*upstream
 	messages  []message
+	// reports are on their way for long.
+	reports   []lateReport
 	jobs      []keeper.JobID
 	cancelled map[keeper.JobID]bool
 	done      map[keeper.TaskID]bool
@@ -52,6 +54,12 @@
 	expired bool
 }
 
+// lateReport is an upstream's report that was held up.
+type lateReport struct {
+	at     clock.Millis
+	report planner.Report
+}
+
 // orderTimeout is how long the holder waits for the answer to an order.
 const orderTimeout = 1 * clock.Second
 
@@ -224,7 +232,21 @@
 			continue
 		}
 		u.seq++
-		w.planner.Report(w.now, planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: u.seq}, func() {})
+		r := planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: u.seq}
+		if !w.calm && w.pick(20) == 0 {
+			w.reports = append(w.reports, lateReport{w.now + clock.Millis(w.pick(4000)), r})
+			continue
+		}
+		w.planner.Report(w.now, r, func() {})
+	}
+	due := w.reports
+	w.reports = nil
+	for _, l := range due {
+		if l.at > w.now {
+			w.reports = append(w.reports, l)
+			continue
+		}
+		w.planner.Report(w.now, l.report, func() {})
 	}
 }
 
