runner, platform: logs on standard output, settings checked as a whole and watched

Cause: the platform's pages let the settings file change without a signal, and only SIGHUP was heard; -check did nothing with -platform; the first mistake in the settings hid the others; logs went to standard error. Change: the file is looked at each second; all findings are told at once, with -platform -check too; logs go to standard output; a panic of a part prints its cause after the stack, as the last line.

--- a/cmd/chervilvaned/main.go
+++ b/cmd/chervilvaned/main.go
@@ -13,7 +13,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := runner.Main(ctx, os.Args[1:], os.Stderr)
+	err := runner.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chervilvaned:", err)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -164,7 +164,7 @@
 	f.t.Helper()
 	m := f.members[id]
 	m.process = exec.Command(filepath.Join(binaries, "chervilvaned"), "-settings", f.settings(m))
-	m.process.Stderr = m.log
+	m.process.Stdout, m.process.Stderr = m.log, m.log
 	f.must(m.process.Start())
 }
 
--- a/runner/dev.go
+++ b/runner/dev.go
@@ -53,7 +53,7 @@
 `
 
 // runDev runs one instance with a stand-in upstream until the context ends.
-func runDev(ctx context.Context, stderr io.Writer) error {
+func runDev(ctx context.Context, stdout, stderr io.Writer) error {
 	folder, err := os.MkdirTemp("", "chervilvane-dev-")
 	if err != nil {
 		return errors.Wrap(err, "making the temporary data folder")
@@ -76,7 +76,7 @@
 		return err
 	}
 	fmt.Fprintf(stderr, "development instance on http://%s; operator's key in %s\n", devAPI, keyFile)
-	return Run(ctx, New(settings, Options{Credentials: creds, LogTo: stderr, Extra: fx.Invoke(addSample, addStandIn)}))
+	return Run(ctx, New(settings, Options{Credentials: creds, LogTo: stdout, Extra: fx.Invoke(addSample, addStandIn)}))
 }
 
 // devSettings returns the settings of the development instance, by way of the
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -65,15 +67,18 @@
 const methodLog instance.Method = "log.message"
 
 // runPlatform runs an instance of a domain under the platform's settings.
-func runPlatform(ctx context.Context, meshListen string, stderr io.Writer) error {
+func runPlatform(ctx context.Context, meshListen string, check bool, stdout io.Writer) error {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return &usageError{err}
 	}
+	if check {
+		return nil
+	}
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(settings.MemoryLimit) * memoryShare / 100)
 	}
-	return Run(ctx, newDomain(settings, meshBinding(meshListen), stderr))
+	return Run(ctx, newDomain(settings, meshBinding(meshListen), stdout))
 }
 
 // meshBinding is where the mesh is bound; empty is the address by which peers
@@ -315,7 +320,20 @@
 	return all
 }
 
+// exitPanicked is the exit status after a panic, as the runtime's.
+const exitPanicked = 2
+
+// reportPanic ends the process after a panic with the cause as the last line:
+// what collects the output of processes often keeps only its end.
+func reportPanic(part string) {
+	if v := recover(); v != nil {
+		fmt.Fprintf(os.Stderr, "%s\nchervilvaned: the part %s panicked: %v\n", debug.Stack(), part, v)
+		os.Exit(exitPanicked)
+	}
+}
+
 func (d domain) runPart(ctx context.Context, p part) error {
+	defer reportPanic(p.name)
 	err := p.run(ctx)
 	if err == nil || ctx.Err() != nil {
 		return nil
@@ -324,25 +342,38 @@
 	return errors.CombineErrors(errors.Wrap(err, p.name), d.Shutdowner.Shutdown(fx.ExitCode(1)))
 }
 
-// reload reads the settings anew when the platform asks for it; only the
-// contacts can change while the process runs.
+// settingsPoll is the time between two looks at whether the settings file has
+// changed, which the platform may do without a signal.
+const settingsPoll = 1 * clock.Second
+
+// reload reads the settings anew when the platform asks for it or their file has
+// changed; only the contacts can change while the process runs.
 func (d domain) reload(ctx context.Context) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsPoll.Duration())
+	defer ticker.Stop()
+	changed := platform.SettingsChanged()
 	for {
+		why := "a signal"
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-hup:
+		case <-ticker.C:
+			if !changed() {
+				continue
+			}
+			why = "the file has changed"
 		}
 		s, err := platform.LoadSettings()
 		if err != nil {
-			d.Logger.WithError(err).Error("the settings can't be read again; the former ones stay")
+			d.Logger.WithError(err).WithField("Cause", why).Error("the settings can't be read again; the former ones stay")
 			continue
 		}
 		d.Forwarder.SetContacts(s.Contacts)
-		d.Logger.WithField("Contacts", s.Contacts).Info("settings reloaded")
+		d.Logger.WithFields(logrus.Fields{"Contacts": s.Contacts, "Cause": why}).Info("settings reloaded")
 	}
 }
 
--- a/runner/main.go
+++ b/runner/main.go
@@ -37,8 +37,9 @@
 	return exitFailed
 }
 
-// Main runs the daemon with command line arguments until the context ends.
-func Main(ctx context.Context, args []string, stderr io.Writer) error {
+// Main runs the daemon with command line arguments until the context ends. The
+// structured log goes to stdout, what is meant for people to stderr.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) error {
 	flags := flag.NewFlagSet("chervilvaned", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	settingsFile := flags.String("settings", "", "the instance's settings `FILE` (YAML)")
@@ -50,16 +51,16 @@
 		return &usageError{err}
 	}
 	if *dev {
-		return runDev(ctx, stderr)
+		return runDev(ctx, stdout, stderr)
 	}
 	if *onPlatform {
-		return runPlatform(ctx, *meshListen, stderr)
+		return runPlatform(ctx, *meshListen, *check, stdout)
 	}
 	settings, err := load(*settingsFile, stderr)
 	if err != nil || *check {
 		return err
 	}
-	return Run(ctx, New(settings, Options{LogTo: stderr}))
+	return Run(ctx, New(settings, Options{LogTo: stdout}))
 }
 
 // load reads the settings and prints all findings.
