planner: a task gives way once; no sort of all upstreams for each event

Change: a task's first run gives way, later ones don't; the planner tells the driver of new upstreams instead of listing all; a report compares addresses without a sort.

--- a/driver/effect.go
+++ b/driver/effect.go
@@ -118,7 +118,7 @@
 // followUpstreams starts to look at upstreams that are new. It is called with
 // the lock held.
 func (s *session) followUpstreams() {
-	for _, id := range s.planner.HostIDs() {
+	for _, id := range s.planner.NewHosts() {
 		if s.looked[id] {
 			continue
 		}
@@ -137,9 +137,6 @@
 		pause := lookPace
 		switch s.look(id, true) {
 		case lookGone:
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			delete(s.looked, id)
 			return
 		case lookFailed:
 			pause = lookRetry
@@ -163,11 +160,17 @@
 func (s *session) look(id unit.Upstream, wait bool) lookResult {
 	s.mu.Lock()
 	l, ok := s.planner.NextLook(s.now(), id)
-	committed := s.barrier()
-	s.mu.Unlock()
 	if !ok {
+		if wait {
+			// Under the same lock, or the planner could tell of the upstream's return
+			// in between.
+			delete(s.looked, id)
+		}
+		s.mu.Unlock()
 		return lookGone
 	}
+	committed := s.barrier()
+	s.mu.Unlock()
 	if !wait {
 		l.Wait = 0
 	}
--- a/planner/host.go
+++ b/planner/host.go
@@ -161,6 +161,9 @@
 		return
 	}
 	p.endOthersAt(u)
+	if h != nil && h.dead {
+		p.arrived = append(p.arrived, u.ID)
+	}
 	if h != nil && h.Life != u.Life {
 		p.newLife(h, u.Life)
 	}
@@ -170,6 +173,7 @@
 	if h == nil {
 		h = newHost(p.state.Hosts[u.ID], p.cfg)
 		p.hosts[u.ID] = h
+		p.arrived = append(p.arrived, u.ID)
 		if len(h.Runs) == 0 {
 			// Nothing was ever ordered there.
 			h.claimed = true
@@ -193,11 +197,16 @@
 // endOthersAt ends the older lives that had the address of a newer upstream:
 // two can't serve there at once.
 func (p *Planner) endOthersAt(u keeper.Upstream) {
-	for _, o := range p.sortedHosts() {
+	var former []*host
+	for _, o := range p.hosts {
 		if o.ID != u.ID && o.Address == u.Address && o.Life < u.Life {
-			p.buryHost(o, o.Life)
+			former = append(former, o)
 		}
 	}
+	slices.SortFunc(former, func(a, b *host) int { return cmp.Compare(a.ID, b.ID) })
+	for _, o := range former {
+		p.buryHost(o, o.Life)
+	}
 }
 
 // newLife turns to a new life of an upstream. The first look at it ends the runs
@@ -297,8 +306,14 @@
 	}
 }
 
-// HostIDs returns the upstreams that the holder looks after.
-func (p *Planner) HostIDs() []unit.Upstream { return slices.Sorted(maps.Keys(p.hosts)) }
+// NewHosts returns the upstreams that the holder has begun to look after since
+// the last call.
+func (p *Planner) NewHosts() []unit.Upstream {
+	list := p.arrived
+	p.arrived = nil
+	slices.Sort(list)
+	return list
+}
 
 // sortedHosts returns the upstreams in a fixed order, so that the same events
 // lead to the same decisions.
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -70,24 +70,29 @@
 	id      unit.Upstream
 	ends    []planner.SeenEnd
 	last    int64
-	runs    map[keeper.RunKey]int
+	runs    map[keeper.RunKey]clock.Millis
 	waiting func()
 }
 
 // load is a domain under a steady stream of jobs, in virtual time. Only the
 // planner's own time is real.
 type load struct {
-	rnd     *rand.Rand
-	queues  []loadQueue
-	now     clock.Millis
-	seq     int
-	events  loadEvents
-	planner *planner.Planner
-	hosts   map[unit.Upstream]*loadHost
-	work    map[keeper.StepID]clock.Millis
-	spent   time.Duration
-	worst   time.Duration
-	dirty   bool
+	rnd      *rand.Rand
+	advisers int
+	queues   []loadQueue
+	now      clock.Millis
+	seq      int
+	events   loadEvents
+	planner  *planner.Planner
+	hosts    map[unit.Upstream]*loadHost
+	work     map[keeper.StepID]clock.Millis
+	left     map[keeper.TaskID]clock.Millis
+	spent    time.Duration
+	// asked is the time of the advice service that each queue has used, in
+	// milliseconds.
+	asked map[unit.Queue]float64
+	worst time.Duration
+	dirty bool
 	// committing: a batch is on its way; next holds what comes after it.
 	committing bool
 	effects    []planner.Effect
@@ -107,13 +112,17 @@
 	loadTrip   = 3 * clock.Millisecond
 	loadCommit = 8 * clock.Millisecond
 	loadGather = 3 * clock.Millisecond
-	loadPace   = 120 * clock.Millisecond
+	// loadAdvisers is how many entries there are at 350 upstreams.
+	loadAdvisers = 39
+	loadPace     = 120 * clock.Millisecond
+	// loadRestore is the time that a start from a checkpoint takes.
+	loadRestore = 100 * clock.Millisecond
 )
 
-func newLoad(seed uint64, hosts int, queues []loadQueue) *load {
+func newLoad(seed uint64, hosts, advisers int, queues []loadQueue) *load {
 	l := &load{
-		rnd: rand.New(rand.NewPCG(seed, seed)), queues: queues, now: 1_000_000, hosts: map[unit.Upstream]*loadHost{},
-		work: map[keeper.StepID]clock.Millis{}, submitted: map[keeper.JobID]int{},
+		advisers: advisers, rnd: rand.New(rand.NewPCG(seed, seed)), queues: queues, now: 1_000_000, hosts: map[unit.Upstream]*loadHost{},
+		work: map[keeper.StepID]clock.Millis{}, left: map[keeper.TaskID]clock.Millis{}, submitted: map[keeper.JobID]int{}, asked: map[unit.Queue]float64{},
 		due: make([]int, len(queues)), inTime: make([]int, len(queues)),
 	}
 	c := keeper.Config{
@@ -127,7 +136,7 @@
 	state.Do(keeper.SetConfig{Config: c})
 	l.planner = planner.New(planner.Config{Token: 1, Since: l.now, MaxHold: 6000, Retention: clock.Minute}, state)
 	for i := range hosts {
-		h := &loadHost{id: unit.Upstream(fmt.Sprintf("u%04d", i)), runs: map[keeper.RunKey]int{}}
+		h := &loadHost{id: unit.Upstream(fmt.Sprintf("u%04d", i)), runs: map[keeper.RunKey]clock.Millis{}}
 		l.hosts[h.id] = h
 		l.planner.Report(l.now, planner.Report{Seq: 1, Clock: 1, Upstream: keeper.Upstream{
 			ID: h.id, Life: 1, Address: string(h.id) + ":1", Service: service,
@@ -135,7 +144,7 @@
 		}}, func() {})
 		l.after(clock.Millis(l.rnd.IntN(100)), func() { l.look(h) })
 	}
-	for i := range 39 {
+	for i := range l.advisers {
 		l.planner.Handle(l.now, planner.Attend{From: unit.Instance(fmt.Sprintf("e%02d", i)), Advises: true}, func(planner.Reply) {})
 	}
 	l.after(500, func() { l.attend() })
@@ -147,7 +156,7 @@
 }
 
 func (l *load) attend() {
-	for i := range 39 {
+	for i := range l.advisers {
 		l.do(func() {
 			l.planner.Handle(l.now, planner.Attend{From: unit.Instance(fmt.Sprintf("e%02d", i)), Advises: true}, func(planner.Reply) {})
 		})
@@ -290,6 +299,7 @@
 		l.do(func() { l.planner.Looked(l.now, l.now, e.To, l.seen(h)); l.planner.Peeked(e.To) })
 	case planner.Advise:
 		q := l.queues[l.submitted[e.Step.Job]]
+		l.asked[q.Name] += q.AdviceBase + q.AdviceEach*float64(len(e.Upstreams))
 		l.after(clock.Millis(q.AdviceBase+q.AdviceEach*float64(len(e.Upstreams)))+2*loadTrip, func() { l.advise(e, q) })
 	}
 }
@@ -311,8 +321,11 @@
 
 func (l *load) start(e planner.Start) {
 	h := l.hosts[e.To.ID]
-	h.runs[e.Run] = 0
 	took := l.work[e.Run.Task.StepID()]
+	if left, saved := l.left[e.Run.Task]; saved && e.Checkpoint != "" {
+		took = left + loadRestore
+	}
+	h.runs[e.Run] = l.now + took
 	l.after(max(took, 1), func() {
 		if _, runs := h.runs[e.Run]; runs {
 			l.end(h, e.Run, keeper.Done)
@@ -322,9 +335,10 @@
 }
 
 func (l *load) end(h *loadHost, key keeper.RunKey, how keeper.How) {
+	l.left[key.Task] = h.runs[key] - l.now
 	delete(h.runs, key)
 	h.last++
-	h.ends = append(h.ends, planner.SeenEnd{Number: h.last, Run: key, How: how})
+	h.ends = append(h.ends, planner.SeenEnd{Number: h.last, Run: key, How: how, Checkpoint: "c"})
 	if w := h.waiting; w != nil {
 		h.waiting = nil
 		w()
@@ -377,7 +391,7 @@
 		queues[i].perSecond *= 0.5
 	}
 	queues[0].width = 8
-	l := newLoad(3, 120, queues)
+	l := newLoad(3, 120, loadAdvisers, queues)
 	l.run(l.now + 12*clock.Second)
 	l.quiet = true
 	l.run(l.now + 30*clock.Second)
@@ -393,13 +407,16 @@
 //
 //	go test ./planner -run - -bench Load -benchtime 1x
 func BenchmarkLoad(b *testing.B) {
-	for name, x := range map[string]float64{"calm": 1, "burst": 1.5} {
+	for name, c := range map[string]struct {
+		x        float64
+		advisers int
+	}{"calm": {1, loadAdvisers}, "burst": {1.5, loadAdvisers}, "scarce": {1.2, loadAdvisers / 2}} {
 		b.Run(name, func(b *testing.B) {
 			queues := grownQueues()
 			for i := range queues {
-				queues[i].perSecond *= x
+				queues[i].perSecond *= c.x
 			}
-			l := newLoad(1, 350, queues)
+			l := newLoad(1, 350, c.advisers, queues)
 			for b.Loop() {
 				l.run(l.now + 40*clock.Second)
 			}
@@ -410,6 +427,7 @@
 			b.ReportMetric(float64(l.looks)/seconds, "looks/s")
 			for i, q := range queues {
 				b.ReportMetric(float64(l.inTime[i])/float64(l.due[i]), string(q.Name)+"-in-time")
+				b.ReportMetric(l.asked[q.Name]/seconds/1000, string(q.Name)+"-advisers")
 			}
 		})
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -42,7 +42,9 @@
 	state *keeper.State
 	now   clock.Millis
 
-	hosts    map[unit.Upstream]*host
+	hosts map[unit.Upstream]*host
+	// arrived are the hosts that are new to the driver.
+	arrived  []unit.Upstream
 	runs     map[keeper.RunKey]*run
 	steps    map[keeper.StepID]*step
 	byJob    map[keeper.JobID][]*step
@@ -85,6 +87,7 @@
 	}
 	for id, h := range state.Hosts {
 		p.hosts[id] = newHost(h, c)
+		p.arrived = append(p.arrived, id)
 		for key, held := range h.Runs {
 			p.runs[key] = &run{key: key, host: id, life: held.Life, inherited: true, at: held.At}
 		}
--- a/planner/room.go
+++ b/planner/room.go
@@ -172,6 +172,10 @@
 	return list
 }
 
+// mostYields is how often a task gives way: each time costs it a restore and a
+// wait for room, and a task that always gave way would never end.
+const mostYields = 1
+
 // mayGiveWay reports whether a run may be stopped for a step: it belongs to a
 // less urgent queue and loses next to nothing.
 func (p *Planner) mayGiveWay(r *run, s *step) bool {
@@ -180,7 +184,7 @@
 		return false
 	}
 	spec := &j.Work.Steps[r.key.Task.Step]
-	return spec.Checkpointing && !spec.Gang && !spec.LongRunning
+	return r.key.Number <= mostYields && spec.Checkpointing && !spec.Gang && !spec.LongRunning
 }
 
 // stopVictims stops the runs that began last, until need fits.
