planner: a new holder stops the rest of a broken gang

A member of a gang lapsed with its upstream, and all core machines were killed before the holder had stopped the other member; the next holder knew nothing of that wait, and a gang starts anew only once all its runs have ended. Change: a new holder stops the live runs of gangs of which a member's run has ended. TestRestOfABrokenGangIsStoppedByANewHolder fails without it.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -92,6 +92,7 @@
 			p.runs[key] = &run{key: key, host: id, life: held.Life, inherited: true, at: held.At}
 		}
 	}
+	p.stopBrokenGangs()
 	for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
 		if j := state.Jobs[id]; !j.Phase.IsFinal() {
 			p.open(j)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -593,3 +593,36 @@
 		})
 	}
 }
+
+// TestRestOfABrokenGangIsStoppedByANewHolder loses the holder after it has noted
+// the end of one member and before it has stopped the other.
+func TestRestOfABrokenGangIsStoppedByANewHolder(t *testing.T) {
+	is := is.New(t)
+	w := quiet(t, func(*keeper.Config) {})
+	w.ask(planner.Submit{To: address(first), ID: first, Work: keeper.Submission{
+		Steps: []keeper.Step{{Count: 2, Gang: true, Need: unit.Resources{CPU: 4000}}},
+	}})
+	w.planner.Tick(w.now)
+	commands, effects := w.planner.Take()
+	for _, c := range commands {
+		w.log.Do(c)
+	}
+	var starts []planner.Start
+	for _, e := range effects {
+		if s, ok := e.(planner.Start); ok {
+			w.planner.Started(w.now, s.Run, s.To, planner.Done{}, 0)
+			starts = append(starts, s)
+		}
+	}
+	w.planner.Looked(w.now, w.now, starts[0].To, planner.Seen{
+		Life: 1, Clock: w.upstream(starts[0].To.ID).clock(), Ends: []planner.SeenEnd{{Number: 1, Run: starts[0].Run, How: keeper.Lapsed}},
+	})
+	commands, _ = w.planner.Take()
+	for _, c := range commands {
+		w.log.Do(c)
+	}
+	w.takeOver()
+	w.now += 1000
+	w.planner.Tick(w.now)
+	is.Equal(only[planner.Stop](t, w).Run, starts[1].Run)
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// stopBrokenGangs stops the runs that are left of gangs of which a member has
+// ended, which a former holder may have left undone.
+func (p *Planner) stopBrokenGangs() {
+	for key, r := range p.runs {
+		j, st, _ := p.state.Task(key.Task)
+		if st == nil || !j.Work.Steps[key.Task.Step].Gang {
+			continue
+		}
+		for _, t := range st.Tasks {
+			if !slices.ContainsFunc(t.Live, func(l *keeper.Run) bool { return l.Number == key.Number }) {
+				r.stopWanted, r.stopAt = true, p.now+brokenWait
+			}
+		}
+	}
+}
+
 // Stopped takes the answer to a stop.
 func (p *Planner) Stopped(now clock.Millis, key keeper.RunKey, a Answer, clockAt clock.Millis) {
 	p.now = max(p.now, now)
