driver: give each session of a term its own fencing token

Orders of the former session that are on their way aren't fenced, and its claim rules their runs out. Change: the token is the term times 1,024 plus the number of the session in it. TestSessionsOfOneTermHaveDifferentTokens fails without it; the other test of tokens asks for the new value.

--- a/driver/doc.go
+++ b/driver/doc.go
@@ -3,7 +3,7 @@
 // and carries out the effects once the commands before them are committed.
 //
 // A session lasts as long as one leadership. It starts from what the log had
-// committed, under the leadership's term as its fencing token, and ends with
+// committed, under a fencing token made of the leadership's term, and ends with
 // the term; whoever still waits is told that the result isn't known. Nothing
 // leaves a session, neither an order nor an answer, while the leader's lease
 // isn't valid.
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -76,6 +76,10 @@
 	// spent is the last term whose session ended with a proposal that may still
 	// be committed: what that term's log will hold isn't known.
 	spent replicator.Term
+	// opened counts the sessions of openedIn: a session may end and another one
+	// begin in the same term, after a handover that nobody took.
+	opened   uint64
+	openedIn replicator.Term
 
 	mu      sync.Mutex
 	session *session
@@ -131,17 +135,31 @@
 	if !leads || term == d.spent {
 		return
 	}
-	s, err := newSession(ctx, d, term, since)
+	if term != d.openedIn {
+		d.openedIn, d.opened = term, 0
+	}
+	s, err := newSession(ctx, d, term, token(term, d.opened), since)
 	if err != nil {
 		d.log.WithError(err).Error("taking the domain over failed")
 		return
 	}
+	d.opened++
 	d.mu.Lock()
 	d.session = s
 	d.mu.Unlock()
 	s.start()
 }
 
+// sessionsPerTerm bounds the sessions of a term whose tokens differ.
+const sessionsPerTerm = 1 << 10
+
+// token returns the fencing token of the nth session of a term. It is higher than
+// that of any session before, so that orders of a former session of the same term
+// are refused as well.
+func token(term replicator.Term, nth uint64) uint64 {
+	return uint64(term)*sessionsPerTerm + min(nth, sessionsPerTerm-1)
+}
+
 // isHolding reports whether a term's lease is valid now.
 func (d *Driver) isHolding(term replicator.Term) bool {
 	t, _, ok := d.cfg.Log.Lead()
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -185,7 +185,7 @@
 		is.True(l.holds(job)) // the answer came after the commit
 		time.Sleep(3 * time.Second)
 		is.Equal(ask(d, planner.Inspect{To: to, ID: job}).Reply.Phase, keeper.Completed)
-		is.Equal(u.tokensSeen(), []uint64{7})
+		is.Equal(u.tokensSeen(), []uint64{7 << 10})
 	})
 }
 
@@ -215,7 +215,29 @@
 		is.Equal(len(u.tokensSeen()), 0)
 		l.set(func(l *fakeLog) { l.leased = true })
 		time.Sleep(time.Second)
-		is.Equal(u.tokensSeen(), []uint64{7})
+		is.Equal(u.tokensSeen(), []uint64{7 << 10})
+	})
+}
+
+// TestSessionsOfOneTermHaveDifferentTokens: a handover that nobody takes ends a
+// session, and the same instance goes on in the same term.
+func TestSessionsOfOneTermHaveDifferentTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := holder(t)
+		is.Equal(ask(d, submit()).Reply.Code, planner.OK)
+		time.Sleep(100 * time.Millisecond)
+		l.set(func(l *fakeLog) { l.fail = &replicator.NotLeaderError{} })
+		second := planner.Submit{To: to, ID: "00000000000000ab", Work: submit().(planner.Submit).Work}
+		second.To.Path = "/q/" + string(second.ID)
+		is.Equal(ask(d, second).Reply.Code, planner.Unknown)
+		l.set(func(l *fakeLog) { l.fail = nil })
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(ask(d, second).Reply.Code, planner.OK)
+		time.Sleep(2 * time.Second)
+		tokens := u.tokensSeen()
+		is.Equal(tokens[0], uint64(7<<10))
+		is.Equal(tokens[len(tokens)-1], uint64(7<<10+1))
 	})
 }
 
--- a/driver/effect.go
+++ b/driver/effect.go
@@ -66,7 +66,7 @@
 	started := time.Now()
 	// The lease is checked last, since everything before may have taken long.
 	if s.d.isHolding(s.term) {
-		a, clk = s.d.cfg.Upstreams.Start(ctx, uint64(s.term), e)
+		a, clk = s.d.cfg.Upstreams.Start(ctx, s.token, e)
 		s.d.metrics.start.RecordDuration(time.Since(started))
 	}
 	s.logAnswer("start", e.Run, e.To, a)
@@ -79,7 +79,7 @@
 	var a planner.Answer = planner.Unanswered{Cause: errNoLease}
 	var clk clock.Millis
 	if s.d.isHolding(s.term) {
-		a, clk = s.d.cfg.Upstreams.Stop(ctx, uint64(s.term), e)
+		a, clk = s.d.cfg.Upstreams.Stop(ctx, s.token, e)
 	}
 	s.logAnswer("stop", e.Run, e.To, a)
 	s.do(func(p *planner.Planner) { p.Stopped(s.now(), e.Run, a, clk) })
@@ -189,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, (l.Wait + lookSlack).Duration())
 	defer cancel()
 	sentAt := s.now()
-	seen, err := s.d.cfg.Upstreams.Look(ctx, uint64(s.term), l)
+	seen, err := s.d.cfg.Upstreams.Look(ctx, s.token, l)
 	if s.ctx.Err() != nil {
 		return lookFailed
 	}
--- a/driver/session.go
+++ b/driver/session.go
@@ -28,9 +28,11 @@
 
 // session is one leadership's work.
 type session struct {
-	d     *Driver
-	log   logrus.FieldLogger
-	term  replicator.Term
+	d    *Driver
+	log  logrus.FieldLogger
+	term replicator.Term
+	// token fences the orders.
+	token uint64
 	ctx   context.Context
 	stop  context.CancelFunc
 	group errgroup.Group
@@ -54,16 +56,16 @@
 	barriers []chan struct{}
 }
 
-func newSession(ctx context.Context, d *Driver, term replicator.Term, since clock.Millis) (*session, error) {
+func newSession(ctx context.Context, d *Driver, term replicator.Term, token uint64, since clock.Millis) (*session, error) {
 	state := keeper.New()
 	if err := state.Restore(d.cfg.State.Snapshot()); err != nil {
 		return nil, err
 	}
 	c := d.cfg.Planner
-	c.Token = uint64(term)
+	c.Token = token
 	c.Since = max(since, d.cfg.Clock.Now())
 	s := &session{
-		d: d, log: d.log.WithField("Term", term), term: term,
+		d: d, log: d.log.WithField("Term", term), term: term, token: token,
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1),
 		planner: planner.New(c, state),
 		looked:  map[unit.Upstream]bool{},
