--- /dev/null
+++ b/planner/candidate.go
@@ -0,0 +1,131 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// candidate is an upstream with room for some tasks of a step.
+type candidate struct {
+	host  *host
+	room  int
+	score float64
+	// ticketed: a start there needs no question first.
+	ticketed bool
+}
+
+// compare orders candidates, the best first. Those with a ticket come before
+// the others: what is chosen then stays the same while tickets are renewed.
+func (c candidate) compare(o candidate) int {
+	if c.ticketed != o.ticketed {
+		if c.ticketed {
+			return -1
+		}
+		return 1
+	}
+	if c.score != o.score {
+		return cmp.Compare(c.score, o.score)
+	}
+	return cmp.Compare(c.host.ID, o.host.ID)
+}
+
+// eachHost calls f for the upstreams that may run a step, as far as is known.
+func (p *Planner) eachHost(s *step, f func(h *host)) {
+	service := p.serviceOf(s.job)
+	visit := func(h *host) {
+		if p.suits(s, h, service) {
+			f(h)
+		}
+	}
+	if !s.job.Queue.Advised {
+		for _, h := range p.hosts {
+			visit(h)
+		}
+		return
+	}
+	for id := range s.advice.good {
+		if h := p.hosts[id]; h != nil {
+			visit(h)
+		}
+	}
+}
+
+// candidates returns the upstreams on which tasks of a step fit now, the best
+// first.
+func (p *Planner) candidates(s *step) []candidate {
+	var list []candidate
+	p.eachHost(s, func(h *host) { list = p.addCandidate(list, s, h) })
+	slices.SortFunc(list, candidate.compare)
+	return list
+}
+
+// addCandidate adds an upstream to the list if a task of the step fits there.
+func (p *Planner) addCandidate(list []candidate, s *step, h *host) []candidate {
+	need := p.state.NeedOf(s.spec)
+	n := timesFits(need, h.free().Sub(p.reserve(s)))
+	if n > 0 && s.spec.AntiAffinity > 0 {
+		n = min(n, s.spec.AntiAffinity-s.countOn(h.ID))
+	}
+	if n > 0 {
+		list = append(list, candidate{h, n, p.score(s, h, need), p.hasTicket(s, h)})
+	}
+	return list
+}
+
+// countOn counts a step's live tasks on an upstream.
+func (s *step) countOn(id unit.Upstream) int {
+	st := s.state()
+	if st == nil {
+		return 0
+	}
+	n := 0
+	for _, t := range st.Tasks {
+		for _, r := range t.Live {
+			if r.Upstream == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// timesFits returns how often need fits into free.
+func timesFits(need, free unit.Resources) int {
+	n, f := need.Vector(), free.Vector()
+	times := maxTasks
+	for i := range n {
+		if n[i] > 0 {
+			times = min(times, int(max(f[i], 0)/n[i]))
+		}
+	}
+	return times
+}
+
+// farFactor is what a task away from its data costs against one near it, in
+// the score. The platform's own factor is of this size.
+const farFactor = 1.5
+
+// score rates an upstream for a task, lower is better: the time that it takes
+// there, then how little room is left over, which keeps large gaps for large
+// tasks.
+func (p *Planner) score(s *step, h *host, need unit.Resources) float64 {
+	time := h.record.slowness(p.now)
+	if s.spec.DataRack != "" && s.spec.DataRack != h.Rack {
+		time *= farFactor
+	}
+	left := h.free().Sub(need)
+	return time + leftOver(left.CPU, h.Capacity.CPU) + leftOver(left.Memory, h.Capacity.Memory)
+}
+
+// packWeight weighs a whole upstream's free room against the time that a task
+// takes on one of usual speed.
+const packWeight = 0.1
+
+func leftOver[T unit.MilliCPU | unit.Bytes](left, of T) float64 {
+	if of <= 0 {
+		return 0
+	}
+	return packWeight * float64(left) / float64(of)
+}
--- /dev/null
+++ b/planner/gang.go
@@ -0,0 +1,79 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// placeGang starts all tasks of a gang, or none.
+func (p *Planner) placeGang(s *step, tasks []int, bookings int) {
+	if p.headroom(s) < len(tasks) {
+		s.capped = true
+		return
+	}
+	list := p.candidates(s)
+	chosen, ok := p.fillGang(s, list, len(tasks))
+	if !ok {
+		if !p.makeRoom(s, len(tasks)) && bookings < maxBookings && s.rank.tier == inTime {
+			p.bookGang(s, len(tasks))
+		}
+		return
+	}
+	if again := p.unticketed(s, chosen); len(again) > 0 {
+		for _, h := range chosen {
+			p.book(s, h, 1)
+		}
+		p.askAgain(s, again)
+		return
+	}
+	number := s.nextRun(0)
+	for i, h := range chosen {
+		p.begin(s, tasks[i], number, h, p.ticketOf(s, h))
+	}
+}
+
+// unticketed returns the upstreams of a gang whose tickets have to be renewed
+// before it can start: if any, also those whose tickets would end meanwhile.
+func (p *Planner) unticketed(s *step, chosen []*host) []*host {
+	if !slices.ContainsFunc(chosen, func(h *host) bool { return !p.hasTicket(s, h) }) {
+		return nil
+	}
+	q := s.job.Queue
+	answered := p.now + clock.Millis(q.AdviceBase+q.AdviceEach*float64(len(chosen))) + ticketMargin
+	var again []*host
+	for _, h := range chosen {
+		if s.advice.good[h.ID].until <= answered+ticketMargin && !slices.Contains(again, h) {
+			again = append(again, h)
+		}
+	}
+	return again
+}
+
+// fillGang chooses an upstream for each task of a gang. A gang that is fast on
+// one rack gets one if one has room.
+func (p *Planner) fillGang(s *step, list []candidate, n int) ([]*host, bool) {
+	if s.spec.SameRack {
+		byRack := map[unit.Rack][]candidate{}
+		for _, c := range list {
+			byRack[c.host.Rack] = append(byRack[c.host.Rack], c)
+		}
+		for _, c := range list {
+			if chosen, ok := fill(byRack[c.host.Rack], n); ok {
+				return chosen, true
+			}
+		}
+	}
+	return fill(list, n)
+}
+
+func fill(list []candidate, n int) ([]*host, bool) {
+	var chosen []*host
+	for _, c := range list {
+		for range min(c.room, n-len(chosen)) {
+			chosen = append(chosen, c.host)
+		}
+	}
+	return chosen, len(chosen) == n
+}
--- /dev/null
+++ b/planner/life_test.go
@@ -0,0 +1,101 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/planner"
+)
+
+// TestEndsOfANewLifeAreNotForgotten: the number of the last noted end is sent
+// only to the life that it belongs to.
+func TestEndsOfANewLifeAreNotForgotten(t *testing.T) {
+	for name, c := range map[string]struct {
+		doubt func(w *world, s planner.Start)
+		noted int64
+	}{
+		"a sound upstream": {doubt: func(*world, planner.Start) {}, noted: 7},
+		"a look failed":    {doubt: func(w *world, s planner.Start) { w.planner.LookFailed(w.now, s.To, false) }},
+		"its clock went back": {doubt: func(w *world, s planner.Start) {
+			w.planner.Started(w.now, s.Run, s.To, planner.Done{}, 1)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			w.now += 20 * clock.Second
+			for _, u := range w.upstreams {
+				u.seq = 99
+				w.planner.Report(w.now, planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: 99}, func() {})
+			}
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 2)})
+			w.planner.Tick(w.now)
+			starts := startsOf(w)
+			w.planner.Looked(w.now, w.now, starts[0].To, planner.Seen{
+				Life: 1, Clock: w.upstream(starts[0].To.ID).clock(), Ends: []planner.SeenEnd{{Number: 7, Run: starts[0].Run, How: keeper.Done}},
+			})
+			is.Equal(starts[1].To.ID, starts[0].To.ID)
+			c.doubt(w, starts[1])
+			l, ok := w.planner.NextLook(w.now, starts[0].To.ID)
+			is.True(ok)
+			is.Equal(l.Noted, c.noted)
+		})
+	}
+}
+
+// TestFormerLifeDoesNotComeBack: a look finds a new life, then a late report of
+// the former one arrives.
+func TestFormerLifeDoesNotComeBack(t *testing.T) {
+	for name, again := range map[string]func(w *world){
+		"the same holder": func(*world) {},
+		"a new holder":    func(w *world) { w.commit(); w.takeOver() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			u := w.upstreams[0]
+			former := u.describe()
+			w.planner.Looked(w.now, w.now, planner.Target{ID: u.id, Life: 1}, planner.Seen{Life: 5, Clock: 1})
+			again(w)
+			w.planner.Report(w.now, planner.Report{Upstream: former, Clock: u.clock(), Seq: 500}, func() {})
+			for _, o := range w.upstreams[1:] {
+				o.draining = true
+				o.seq = 500
+				w.planner.Report(w.now, planner.Report{Upstream: o.describe(), Clock: o.clock(), Seq: 501}, func() {})
+			}
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 1)})
+			w.planner.Tick(w.now)
+			is.Equal(len(startsOf(w)), 0)
+		})
+	}
+}
+
+// TestStartThatANewLifeMayHaveAnsweredIsKept: the answer to a start came from a
+// new life under the same id, which a look finds only afterwards.
+func TestStartThatANewLifeMayHaveAnsweredIsKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed bool
+		starts int
+	}{
+		"never listed":              {starts: 0},
+		"listed by the former life": {listed: true, starts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quiet(t, func(*keeper.Config) {})
+			w.ask(planner.Submit{To: address(first), ID: first, Work: submission(1000, 1)})
+			w.planner.Tick(w.now)
+			s := startsOf(w)[0]
+			if c.listed {
+				endOn(w, s.To.ID, nil, []planner.Start{s})
+			}
+			w.planner.Looked(w.now, w.now, s.To, planner.Seen{Life: 5, Clock: 1})
+			w.now += 100
+			w.planner.Tick(w.now)
+			is.Equal(len(startsOf(w)), c.starts)
+		})
+	}
+}
