--- a/planner/room.go
+++ b/planner/room.go
@@ -172,9 +172,9 @@
 	return list
 }
 
-// mostYields is how often a task gives way: each time costs it a restore and a
+// mostYields bounds how often a task gives way: each time costs it a restore and a
 // wait for room, and a task that always gave way would never end.
-const mostYields = 1
+const mostYields = 3
 
 // mayGiveWay reports whether a run may be stopped for a step: it belongs to a
 // less urgent queue and loses next to nothing.
