--- a/review/stand/case_refused.go
+++ b/review/stand/case_refused.go
@@ -12,54 +12,74 @@
 )
 
 // tenantKeys are the keys of the tenant at first.
-var tenantKeys = []string{"6x73d3zji9n73hh2b9wu", "3fexd9dnn2ctnfzs989a", "t0m1rk8dd2vq5yh7c4xe", "p9w2ls6gaz1ub8nj3fko", "z4h8qe1wn7yd3xk5rc2v", "m6b9ta0uf4gj8so1pi7l"}
+var tenantKeys = []string{
+	"6x73d3zji9n73hh2b9wu", "3fexd9dnn2ctnfzs989a", "t0m1rk8dd2vq5yh7c4xe",
+	"p9w2ls6gaz1ub8nj3fko", "z4h8qe1wn7yd3xk5rc2v", "m6b9ta0uf4gj8so1pi7l",
+}
+
+// wave is a number of jobs that clients hand in at the same time, each once.
+type wave struct {
+	mu       sync.Mutex
+	rejected map[string]int
+	// first and last are how long the first and the last answer took.
+	first, last time.Duration
+}
+
+// clientsPerWave is the number of clients; a wave is a job of each.
+const clientsPerWave = 40
+
+// send hands the jobs in and waits for the answers.
+func (v *wave) send(c *cluster, key string, body []byte) {
+	start := time.Now()
+	var group sync.WaitGroup
+	for range clientsPerWave {
+		group.Go(func() {
+			id := newID()
+			status, text := c.callAs(key, http.MethodPost, id, body)
+			c.rec.printf("client: POST %s: %d %.100q", id, status, text)
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.last = time.Since(start)
+			if v.first == 0 {
+				v.first = v.last
+			}
+			switch status {
+			case http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+				v.rejected[id] = status
+			}
+		})
+	}
+	group.Wait()
+}
 
-// playRefused takes five of the tenant's keys away, one after the other, while
-// clients hand jobs in with them. Each time the leader is killed shortly before. No
-// task may start of a job of which each attempt was rejected.
+// playRefused takes five of the tenant's keys away, one after the other, while clients
+// hand jobs in with them. Each time the leader is killed right before, while jobs are on
+// their way. No task may start of a job of which each attempt was rejected.
 func playRefused(c *cluster, trouble bool) (int, error) {
-	const (
-		clients = 40
-		revokes = 5
-	)
+	const revokes = 5
 	body, err := json.Marshal(job{Spec: "work 1000", Steps: []step{{Count: 1, CPU: 100, MemMb: 64, EstimateMs: 1000}}})
 	if err != nil {
 		return 0, err
 	}
-	var mu sync.Mutex
 	rejected := map[string]int{}
 	for i := range revokes {
-		stop := make(chan struct{})
-		var group, disturbance sync.WaitGroup
-		for range clients {
-			group.Go(func() {
-				for {
-					select {
-					case <-stop:
-						return
-					case <-time.After(50 * time.Millisecond):
-					}
-					id := newID()
-					status, text := c.callAs(tenantKeys[i], http.MethodPost, id, body)
-					c.rec.printf("client: POST %s: %d %.100q", id, status, text)
-					switch status {
-					case http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-						mu.Lock()
-						rejected[id] = status
-						mu.Unlock()
-						time.Sleep(time.Second)
-					}
-				}
-			})
-		}
-		time.Sleep(500 * time.Millisecond)
+		usual := &wave{rejected: rejected}
+		usual.send(c, tenantKeys[i], body)
+		c.sleep(500*time.Millisecond, "the first wave is answered")
 		leader := c.leader()
 		if leader == nil {
 			return 0, fmt.Errorf("found no leader")
 		}
+		var group, operators sync.WaitGroup
+		hit := &wave{rejected: rejected}
+		sent := time.Now()
+		group.Go(func() { hit.send(c, tenantKeys[i], body) })
 		if trouble {
-			disturbance.Go(func() {
-				leader.kill()
+			// From shortly before the first answer of the usual wave to its last.
+			wait := usual.first*3/4 + (usual.last-usual.first*3/4)*time.Duration(i)/revokes
+			time.Sleep(time.Until(sent.Add(wait)))
+			leader.kill()
+			group.Go(func() {
 				time.Sleep(time.Second)
 				if err := leader.start(); err != nil {
 					c.rec.printf("%s: %v", leader.name, err)
@@ -67,8 +87,7 @@
 			})
 		}
 		time.Sleep(50 * time.Millisecond)
-		c.rec.printf("operator: takes the key %s away", tenantKeys[i])
-		var operators sync.WaitGroup
+		c.rec.printf("operators: take the key %s away", tenantKeys[i])
 		var failed [2]error
 		for o := range failed {
 			operators.Go(func() { failed[o] = c.configure(tenantKeys[i+1:]...) })
@@ -77,10 +96,7 @@
 		if err := errors.Join(failed[:]...); err != nil {
 			return 0, err
 		}
-		time.Sleep(500 * time.Millisecond)
-		close(stop)
 		group.Wait()
-		disturbance.Wait()
 		c.sleep(8*time.Second, "the system recovers and the accepted jobs run")
 	}
 	breaks := 0
