--- a/review/stand/case_refused.go
+++ b/review/stand/case_refused.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -70,7 +69,7 @@
 		if leader == nil {
 			return 0, fmt.Errorf("found no leader")
 		}
-		var group, operators sync.WaitGroup
+		var group sync.WaitGroup
 		hit := &wave{rejected: rejected}
 		sent := time.Now()
 		group.Go(func() { hit.send(c, tenantKeys[i], body) })
@@ -87,13 +86,8 @@
 			})
 		}
 		time.Sleep(50 * time.Millisecond)
-		c.rec.printf("operators: take the key %s away", tenantKeys[i])
-		var failed [2]error
-		for o := range failed {
-			operators.Go(func() { failed[o] = c.configure(tenantKeys[i+1:]...) })
-		}
-		operators.Wait()
-		if err := errors.Join(failed[:]...); err != nil {
+		c.rec.printf("operator: takes the key %s away", tenantKeys[i])
+		if err := c.configure(tenantKeys[i+1:]...); err != nil {
 			return 0, err
 		}
 		group.Wait()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -32,6 +32,7 @@
 	"cancel":  {workers: 6, capacity: resources{CPU: 16000, MemMb: 32768}, run: playCancel},
 	"ends":    {workers: 6, capacity: resources{CPU: 16000, MemMb: 32768}, run: playEnds},
 	"refused": {workers: 6, capacity: resources{CPU: 16000, MemMb: 32768}, run: playRefused},
+	"drain":   {workers: 6, capacity: resources{CPU: 16000, MemMb: 32768}, run: playDrain},
 	"batch":   {workers: 6, capacity: resources{CPU: 16000, MemMb: 32768}, run: playBatch},
 }
 
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -40,6 +40,11 @@
 	acked  chan struct{}
 	once   sync.Once
 	target string
+	// state is what the heartbeats say; now requests one at once.
+	state      string
+	now        chan struct{}
+	beats      int
+	drainAcked time.Time
 
 	token   uint64
 	expiry  int64
@@ -86,7 +91,7 @@
 	}
 	w := &worker{
 		c: c, id: fmt.Sprintf("i-%06x%02x", 0x7f3a91, i), zone: zones[i%len(zones)], rack: fmt.Sprintf("r%d-1", 1+i%len(zones)), born: time.Now(),
-		acked: make(chan struct{}), runs: map[string]*taskRun{}, highest: map[string]int{}, wake: make(chan struct{}),
+		acked: make(chan struct{}), runs: map[string]*taskRun{}, highest: map[string]int{}, wake: make(chan struct{}), state: "ready", now: make(chan struct{}, 1),
 	}
 	w.gate = newGate(c, ln)
 	w.address = ln.Addr().String()
@@ -115,13 +120,9 @@
 	client := &http.Client{Timeout: time.Second}
 	for i := 0; ; i++ {
 		w.mu.Lock()
-		w.seq++
-		body, err := json.Marshal(map[string]any{
-			"Service": service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
-			"Capacity": w.c.plan.capacity, "Labels": []string{"a", w.rack}, "ClockMs": w.clockMs(), "Seq": w.seq, "born": w.born.UnixMilli(), "Machine": "m-" + w.id,
-		})
-		target := w.target
+		state, target := w.state, w.target
 		w.mu.Unlock()
+		body, err := w.report(state)
 		if err != nil {
 			return
 		}
@@ -132,7 +133,15 @@
 		if w.gate.isCut() {
 			time.Sleep(time.Second)
 		} else {
-			ok = w.sendBeat(client, target, body)
+			if ok = w.sendBeat(client, target, body); ok {
+				w.mu.Lock()
+				w.beats++
+				if state == "draining" && w.drainAcked.IsZero() {
+					w.drainAcked = time.Now()
+					w.c.rec.printf("%s: draining is acknowledged", w.id)
+				}
+				w.mu.Unlock()
+			}
 		}
 		pause := beatEvery
 		if !ok {
@@ -144,11 +153,70 @@
 		select {
 		case <-w.c.done:
 			return
+		case <-w.now:
 		case <-time.After(pause):
 		}
 	}
 }
 
+// report returns the body of the next heartbeat.
+func (w *worker) report(state string) ([]byte, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	return json.Marshal(map[string]any{
+		"Service": service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0,
+		"Capacity": w.c.plan.capacity, "Labels": []string{"a", w.rack}, "ClockMs": w.clockMs(), "Seq": w.seq, "born": w.born.UnixMilli(), "Machine": "m-" + w.id,
+	})
+}
+
+// setTarget sets the address of the next heartbeats.
+func (w *worker) setTarget(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.target = address
+}
+
+// drain makes the worker report that it leaves, at once.
+func (w *worker) drain() {
+	w.mu.Lock()
+	w.state = "draining"
+	w.mu.Unlock()
+	select {
+	case w.now <- struct{}{}:
+	default:
+	}
+}
+
+// awaitDrainAck returns when a heartbeat with the state draining was acknowledged.
+func (w *worker) awaitDrainAck(limit time.Duration) (time.Time, error) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		w.mu.Lock()
+		at := w.drainAcked
+		w.mu.Unlock()
+		if !at.IsZero() {
+			return at, nil
+		}
+	}
+	return time.Time{}, fmt.Errorf("%s: draining wasn't acknowledged", w.id)
+}
+
+// awaitBeat waits until the next heartbeat was acknowledged.
+func (w *worker) awaitBeat() {
+	w.mu.Lock()
+	before := w.beats
+	w.mu.Unlock()
+	for {
+		time.Sleep(5 * time.Millisecond)
+		w.mu.Lock()
+		now := w.beats
+		w.mu.Unlock()
+		if now > before {
+			return
+		}
+	}
+}
+
 func (w *worker) sendBeat(client *http.Client, target string, body []byte) bool {
 	r, err := http.NewRequest(http.MethodPut, "http://"+target+"/v1/instances/"+w.id, bytes.NewReader(body))
 	if err != nil {
