planner: a new leader repeats the stops of ended jobs

EndJob is committed, but the stops that follow from it were only in Planner.stopping, in the leader's memory. New inherited the live runs without them, and a repeated cancel does nothing for a job that has ended.

TestNewLeaderRepeatsStops failed in all three cases with run.go and planner.go as before.

Change: New derives the stops from the state: runs of jobs that have ended, cancelled or failed, and best-effort runs beside a latency-sensitive run, which had the same gap. A stop is safe to repeat: an upstream that has executed it does nothing. The session's first line and the domain status count the runs with an open stop.

--- a/driver/session.go
+++ b/driver/session.go
@@ -83,6 +83,7 @@
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.log.WithFields(logrus.Fields{
 		"Jobs": len(state.Jobs), "Upstreams": len(state.Upstreams), "ConfigVersion": state.Config.Version,
+		"Stopping": s.planner.Status().Stopping,
 	}).Info("leader session started")
 	return s, nil
 }
--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -97,7 +97,7 @@
 func (s *session) logStatus(st planner.Status) {
 	s.log.WithFields(logrus.Fields{
 		"Upstreams": st.Upstreams, "Usable": st.Schedulable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
-		"Runs": st.Runs, "BacklogBytes": int64(st.BacklogBytes), "Advisers": st.TicketRequesters, "BusyAdvisers": st.BusyTicketRequesters,
+		"Runs": st.Runs, "Stopping": st.Stopping, "BacklogBytes": int64(st.BacklogBytes), "Advisers": st.TicketRequesters, "BusyAdvisers": st.BusyTicketRequesters,
 		"OverShare": st.OverShareAccounts,
 	}).Info("domain status")
 	for name, q := range st.Queues {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -124,7 +124,7 @@
 			p.addRun(u, &run{key: key, incarnation: allocation.Incarnation, inherited: true, recordedAt: allocation.StartedAt})
 		}
 	}
-	p.stopBrokenGangs()
+	p.repeatStops()
 	for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
 		if j := state.Jobs[id]; !j.Phase.IsFinal() {
 			p.backlog.add(j.Account, &j.Submission)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -741,3 +741,51 @@
 	sim.planner.Tick(sim.now)
 	is.Equal(takeOnly[planner.Stop](t, sim).Run, starts[1].Run)
 }
+
+// TestNewLeaderRepeatsStops guards against a task that runs on after its job has ended, or
+// that keeps disturbing a latency-sensitive one: the leader fails after it has committed the
+// decision and before any upstream has executed the stop.
+func TestNewLeaderRepeatsStops(t *testing.T) {
+	const other keeper.JobID = "00000000000000ac"
+	for name, decide := range map[string]func(sim *simulation, s planner.Start){
+		"a cancelled job": func(sim *simulation, _ planner.Start) {
+			sim.planner.HandleRequest(sim.now, planner.Cancel{Address: address(jobID), ID: jobID}, func(planner.Reply) {})
+		},
+		"a job that has failed": func(sim *simulation, s planner.Start) {
+			sim.planner.HandlePollResult(sim.now, sim.now, s.Target, planner.PollResult{
+				Incarnation: 1, Clock: sim.upstream(s.Target.ID).clock(), Running: []planner.RunStatus{{Run: s.Run}},
+				Ended: []planner.EndedRun{{Seq: 1, Run: keeper.RunKey{Task: s.Run.Task.StepID().TaskID(1), Number: 1}, Outcome: keeper.RunFailed}},
+			})
+		},
+		"a best-effort run beside a latency-sensitive one": func(sim *simulation, _ planner.Start) {
+			sensitive := newSubmission(100, 3)
+			sensitive.Steps[0].LongRunning, sensitive.Steps[0].TargetTailLatency, sensitive.Steps[0].MaxPerUpstream = true, 100, 1
+			sim.planner.HandleRequest(sim.now, planner.Submit{Address: address(other), ID: other, Submission: sensitive}, func(planner.Reply) {})
+			sim.planner.Tick(sim.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(c *keeper.Config) { c.Queues[0].Queue.MaxAttempts = 1 })
+			submission := newSubmission(100, 2)
+			submission.Steps[0].BestEffortCPU = true
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: submission})
+			sim.planner.Tick(sim.now)
+			starts := takeEffects[planner.Start](sim)
+			is.Equal(len(starts), 2)
+			for _, s := range starts {
+				sim.planner.HandleStartResult(sim.now, s.Run, s.Target, planner.Executed{}, 0)
+			}
+			decide(sim, starts[0])
+			takeEffects[planner.Stop](sim)
+			sim.takeOver()
+			is.True(sim.planner.Status().Stopping > 0)
+			sim.planner.Tick(sim.now)
+			stopped := map[keeper.RunKey]bool{}
+			for _, s := range takeEffects[planner.Stop](sim) {
+				stopped[s.Run] = true
+			}
+			is.True(stopped[starts[0].Run])
+		})
+	}
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -189,8 +189,23 @@
 	}
 }
 
-// stopBrokenGangs stops the remaining runs of gangs of which a member has ended. A former
-// leader may have lost its leadership before it stopped them.
+// repeatStops requests the stops that a former leader may not have brought to an end before
+// it lost its leadership: only a leader's memory holds them.
+func (p *Planner) repeatStops() {
+	p.stopBrokenGangs()
+	for _, u := range p.byID {
+		for _, r := range u.liveRuns {
+			if r.job == nil || r.job.Phase.IsFinal() {
+				p.requestStop(r, p.now)
+			}
+		}
+		if p.hasLatencySensitiveRun(u) {
+			p.stopBestEffortRuns(u)
+		}
+	}
+}
+
+// stopBrokenGangs stops the remaining runs of gangs of which a member has ended.
 func (p *Planner) stopBrokenGangs() {
 	for key, r := range p.runs {
 		j, st, _ := p.state.LookupTask(key.Task)
--- a/planner/status.go
+++ b/planner/status.go
@@ -14,6 +14,8 @@
 	// Capacity and Used are the sums over the schedulable upstreams.
 	Capacity, Used unit.Resources
 	Runs           int
+	// Stopping counts the runs with a stop that no upstream has executed yet.
+	Stopping int
 	// BacklogBytes is the estimated memory of the jobs that haven't ended.
 	BacklogBytes unit.Bytes
 	Queues       map[unit.Queue]*QueueStatus
@@ -43,7 +45,7 @@
 
 // Status returns the current status.
 func (p *Planner) Status() Status {
-	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Queues: map[unit.Queue]*QueueStatus{}}
+	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Queues: map[unit.Queue]*QueueStatus{}}
 	for _, u := range p.upstreams {
 		if u.isSchedulable() {
 			s.Schedulable++
