planner: an answer that may not list all ends gives up no run

An upstream lists at most 500 ends in one answer to a poll. HandlePollResult took each answer for the whole list, and endUnlisted gave up the runs that it named neither as running nor as ended.

No task of the first 500 ends started again. TestUnlistedEndIsAwaited failed in both cases with the check left out.

Change: Config.MaxListedEnds, which the platform's adapter sets. An answer with as many ends is handled, and the ends are acknowledged, but it ends no run and stops no start: the next poll brings the rest. A new leader's first poll counts as answered in this sense only once a whole list has come. The messages between instances stay as they are.

--- a/planner/fake_upstream_test.go
+++ b/planner/fake_upstream_test.go
@@ -130,7 +130,7 @@
 		result.Running = append(result.Running, planner.RunStatus{Run: key})
 	}
 	for _, e := range u.ends {
-		if e.Seq > u.ackedEndSeq {
+		if e.Seq > u.ackedEndSeq && (u.sim.maxListedEnds == 0 || len(result.Ended) < u.sim.maxListedEnds) {
 			result.Ended = append(result.Ended, e)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,6 +35,9 @@
 	LeaderSince clock.Millis
 	// MaxLease is the longest lease that the planner grants an upstream.
 	MaxLease clock.Millis
+	// MaxListedEnds is the most ends that an upstream lists in one answer to a poll. It lists
+	// the rest once these are acknowledged. 0 means that it always lists all.
+	MaxListedEnds int
 	// Retention is how long the state keeps a job after its end.
 	Retention clock.Millis
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -789,3 +789,45 @@
 		})
 	}
 }
+
+// TestUnlistedEndIsAwaited guards against a second run of a task that has ended done: more
+// runs have ended than an upstream lists at once, so the first answer names the run neither
+// as running nor as ended.
+func TestUnlistedEndIsAwaited(t *testing.T) {
+	for name, takeOver := range map[string]bool{"the same leader": false, "a new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(*keeper.Config) {})
+			sim.maxListedEnds = 2
+			sim.takeOver()
+			sim.step(10)
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: newSubmission(4000, 1)})
+			sim.request(planner.Submit{Address: address("00000000000000ac"), ID: "00000000000000ac", Submission: newSubmission(10, 5)})
+			for range 4 {
+				sim.step(20)
+			}
+			u := sim.upstreams[0]
+			for _, o := range sim.upstreams {
+				if len(o.runs) > len(u.runs) {
+					u = o
+				}
+			}
+			started := len(sim.started)
+			is.True(len(u.runs) > sim.maxListedEnds)
+			for _, o := range sim.upstreams {
+				for _, key := range sortedKeys(o.runs) {
+					o.end(key, keeper.RunDone)
+				}
+			}
+			if takeOver {
+				sim.takeOver()
+			}
+			for range 40 {
+				sim.step(20)
+			}
+			is.Equal(len(sim.started), started) // no task has started again
+			is.Equal(sim.log.Jobs[jobID].Phase, keeper.Completed)
+			is.Equal(sim.log.Jobs["00000000000000ac"].Phase, keeper.Completed)
+		})
+	}
+}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -93,8 +93,7 @@
 		}
 		return
 	}
-	first := !u.tokenAcked
-	if first || u.failing {
+	if !u.tokenAcked || u.failing {
 		p.markFreed(u)
 	}
 	u.tokenAcked, u.failing = true, false
@@ -107,12 +106,22 @@
 		listed[r.Run] = true
 		p.handleListedRun(u, r)
 	}
-	p.endUnlisted(u, listed, sentAt, first)
-	p.stopUnlistedStarts(u, listed, sentAt)
+	p.dropUnlistedOrphans(u, listed)
+	if p.listsAllEnds(result) {
+		p.endUnlisted(u, listed, sentAt)
+		p.stopUnlistedStarts(u, listed, sentAt)
+		u.listedAll = true
+	}
 	p.checkProgress(u)
 	p.dirty = true
 }
 
+// listsAllEnds reports whether the answer to a poll lists all ends that aren't acknowledged.
+// If it may not, a run that it doesn't list may still have ended.
+func (p *Planner) listsAllEnds(result PollResult) bool {
+	return p.cfg.MaxListedEnds == 0 || len(result.Ended) < p.cfg.MaxListedEnds
+}
+
 func (p *Planner) handleEnd(u *upstream, e EndedRun) {
 	if e.Seq <= u.AckedEndSeq {
 		return
@@ -174,7 +183,8 @@
 // endUnlisted ends the runs that the upstream lists neither as running nor as ended, if
 // they can't appear later: their start was answered before the poll was sent, a stop was
 // executed before that, or the leader's token rules out a former leader's start.
-func (p *Planner) endUnlisted(u *upstream, listed map[keeper.RunKey]bool, sentAt clock.Millis, first bool) {
+func (p *Planner) endUnlisted(u *upstream, listed map[keeper.RunKey]bool, sentAt clock.Millis) {
+	first := !u.listedAll
 	for _, r := range slices.Clone(u.liveRuns) {
 		if listed[r.key] {
 			continue
@@ -186,6 +196,10 @@
 			p.endRun(r, keeper.RunLost, "", 0)
 		}
 	}
+}
+
+// dropUnlistedOrphans stops tracking the orphans that the upstream doesn't list as running.
+func (p *Planner) dropUnlistedOrphans(u *upstream, listed map[keeper.RunKey]bool) {
 	for key := range p.orphans[u.ID] {
 		if !listed[key] {
 			delete(p.runs, key)
--- a/planner/property_test.go
+++ b/planner/property_test.go
@@ -23,6 +23,8 @@
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		pick := rng.IntN
 		sim := newSimulation(t, pick, 4)
+		sim.maxListedEnds = 2
+		sim.takeOver()
 		for range 150 {
 			sim.doRandomEvent()
 			sim.step(clock.Millis(5 + pick(120)))
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -25,6 +25,8 @@
 	log     *keeper.State
 	planner *planner.Planner
 	term    uint64
+	// maxListedEnds is the most ends that an upstream lists at once; 0 is unlimited.
+	maxListedEnds int
 	// leaderlessUntil is the time until which there is no leader.
 	leaderlessUntil clock.Millis
 
@@ -113,7 +115,7 @@
 	if err := state.Restore(sim.log.Snapshot()); err != nil {
 		sim.failf("restoring the committed state: %v", err)
 	}
-	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, Retention: clock.Hour}, state)
+	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour}, state)
 }
 
 // commit commits the planner's commands and executes its effects.
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -29,6 +29,8 @@
 	// tokenAcked is set once the upstream has answered this leader's token. From then on it
 	// executes no order of a former leader.
 	tokenAcked bool
+	// listedAll is set once the upstream has listed all its runs and ends to this leader.
+	listedAll bool
 	// failing is set when a poll or an order shows that the upstream has a problem. The
 	// next valid answer to a poll clears it.
 	failing bool
@@ -275,7 +277,7 @@
 	}
 	u.incarnation = incarnation
 	u.reportSeq = 0
-	u.tokenAcked, u.failing, u.ended, u.restarted, u.pollingNow = false, false, false, false, false
+	u.tokenAcked, u.listedAll, u.failing, u.ended, u.restarted, u.pollingNow = false, false, false, false, false, false
 	u.hasClock, u.lastClock, u.leaseExpiry = false, 0, 0
 	u.leaseEndsAt = p.now + maxElapsed(p.cfg.MaxLease) + leaseMargin
 	u.health = health{}
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -179,7 +179,7 @@
 	mesh.Handle(relayer.MethodOrder, relay.Serve)
 	d := driver.New(driver.Config{
 		Self: mesh.Self(), Log: node, State: state, Upstreams: relay, OnHeartbeat: relay.HandleHeartbeat, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
-		Planner: planner.Config{MaxLease: s.MaxLease, Retention: s.Retention},
+		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
 		node.Step(from, body)
