forwarder: a refusal doesn't speak for an earlier attempt

The leader had committed the job and was killed before it answered. Do repeated the request at the new leader, where the key was withdrawn by then, and returned that refusal as it was, although it knew that the first attempt may have been executed.

Of TestRefusalAfterMaybeDeliveredAttempt seven cases failed before, and one of TestFailureReportsWhetherRequestWasMaybeDelivered.

Change: after an attempt that may have been executed, a refusal of a request that changes something becomes Unknown; it ends the retries. That holds for each reason to refuse, and for cancels, configurations and reports as well as for jobs. A cancel that finds no job is an answer and stays one. A response that can't be decoded counts as maybe delivered.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,7 +7,9 @@
 // instances, until the caller's context is done or until no leader has answered
 // for so long that the caller should go to another instance. The reply then says
 // whether the leader may have received the request: the code is Unavailable if it
-// certainly did not, and Unknown otherwise.
+// certainly did not, and Unknown otherwise. A leader's refusal counts only if no earlier
+// attempt may have been executed: a former leader may have committed the request, and the
+// configuration may have changed since then.
 package forwarder
 
 import (
@@ -24,6 +26,7 @@
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/instance"
 	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/logger"
 	"github.com/chervilvane/chervilvane/planner"
 	"github.com/chervilvane/chervilvane/pooler"
 	"github.com/chervilvane/chervilvane/replicator"
@@ -154,6 +157,10 @@
 			break
 		}
 		reply, err := f.attempt(ctx, body)
+		if err == nil && maybeDelivered && isRefusal(r, reply.Code) {
+			f.logDoubtfulRefusal(r, reply)
+			return planner.Reply{Code: planner.Unknown, Message: "an earlier attempt may have been executed; a later one was refused: " + reply.Message}
+		}
 		if err == nil && reply.Code != planner.Unknown {
 			return reply
 		}
@@ -171,11 +178,45 @@
 	return planner.Reply{Code: planner.Unavailable, Message: errorText(lastErr), RetryAfter: retryAfter}
 }
 
-// isMaybeDelivered reports whether the request of a failed call may have been
-// executed. A RemoteError counts as well: it doesn't say how far the handler got.
+// isRefusal reports whether a reply with this code says that a request that changes the
+// state was not executed.
+func isRefusal(r planner.Request, code planner.Code) bool {
+	switch r.(type) {
+	case planner.Submit, planner.Cancel, planner.PutConfig, planner.ReportUpstream, planner.DeregisterUpstream:
+	default:
+		return false
+	}
+	switch code {
+	case planner.QueueNotFound, planner.Unauthorized, planner.Invalid, planner.Overloaded, planner.Unavailable:
+		return true
+	}
+	return false
+}
+
+// logDoubtfulRefusal logs a refusal of a request that may have been executed before.
+func (f *Forwarder) logDoubtfulRefusal(r planner.Request, reply planner.Reply) {
+	if f.cfg.Logger == nil {
+		return
+	}
+	fields := logrus.Fields{"Code": reply.Code.String(), "Reason": reply.Message}
+	switch r := r.(type) {
+	case planner.Submit:
+		fields[logger.FieldRequest] = r.ID
+	case planner.Cancel:
+		fields[logger.FieldRequest] = r.ID
+	}
+	f.cfg.Logger.WithFields(fields).Info("leader refused a request that a former leader may have executed")
+}
+
+// isMaybeDelivered reports whether the request of a failed attempt may have been
+// executed. An error of the leader's handler and a response that can't be decoded count
+// as well: they don't say how far the handler got.
 func isMaybeDelivered(err error) bool {
 	call := new(instance.CallError)
-	return errors.As(err, &call) && call.MaybeDelivered || errors.As(err, new(*instance.RemoteError))
+	if errors.As(err, &call) {
+		return call.MaybeDelivered
+	}
+	return !errors.Is(err, errNoLeader)
 }
 
 // errorText returns the message of the last attempt's error; err is nil if there was
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -31,8 +31,9 @@
 	requests     map[unit.Instance]int
 	heartbeats   map[unit.Instance]int
 	reply        planner.Reply
-	// fails is true if the leader's handler returns an error.
-	fails bool
+	// fails is true if the leader's handler returns an error, garbled if its response
+	// can't be decoded.
+	fails, garbled bool
 	// lag is the delay of the leader's answers.
 	lag time.Duration
 }
@@ -44,7 +45,7 @@
 // Call implements instance.Caller.
 func (f *fakeMesh) Call(ctx context.Context, to unit.Instance, _ instance.Method, body []byte) ([]byte, error) {
 	f.mu.Lock()
-	down, silent, leader, term, lag, fails := f.down[to], f.silent[to], f.leader, f.term, f.lag, f.fails
+	down, silent, leader, term, lag, fails, garbled := f.down[to], f.silent[to], f.leader, f.term, f.lag, f.fails, f.garbled
 	f.mu.Unlock()
 	if down {
 		return nil, &instance.CallError{Peer: to, Cause: errors.New("down")}
@@ -73,6 +74,9 @@
 	if !isHeartbeat && to == leader && fails {
 		return nil, &instance.RemoteError{Peer: to, Message: "failed midway"}
 	}
+	if !isHeartbeat && to == leader && garbled {
+		return []byte{0xff}, nil
+	}
 	if to == leader && lag > 0 {
 		select {
 		case <-time.After(lag):
@@ -231,6 +235,7 @@
 		"the leader never answers":    {change: func(f *fakeMesh) { f.silent["a"] = true }, want: planner.Unknown},
 		"the leader returns Unknown":  {change: func(f *fakeMesh) { f.reply.Code = planner.Unknown }, want: planner.Unknown},
 		"the leader returns an error": {change: func(f *fakeMesh) { f.fails = true }, want: planner.Unknown},
+		"the response is garbled":     {change: func(f *fakeMesh) { f.garbled = true }, want: planner.Unknown},
 		"the leader is overloaded":    {change: func(f *fakeMesh) { f.reply.Code = planner.Overloaded }, want: planner.Overloaded},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -246,3 +251,50 @@
 		})
 	}
 }
+
+// TestRefusalAfterMaybeDeliveredAttempt guards against a caller that is told that its request
+// was refused although it was executed: a leader fails after it has received the request, and
+// the new leader refuses the second attempt, for example because the key has been withdrawn
+// since then.
+func TestRefusalAfterMaybeDeliveredAttempt(t *testing.T) {
+	submit, cancel := planner.Submit{ID: "00000000000000aa"}, planner.Cancel{ID: "00000000000000aa"}
+	for name, c := range map[string]struct {
+		request     planner.Request
+		code        planner.Code
+		undelivered bool
+		want        planner.Code
+	}{
+		"a job, withdrawn key":                  {request: submit, code: planner.Unauthorized, want: planner.Unknown},
+		"a job, removed queue":                  {request: submit, code: planner.QueueNotFound, want: planner.Unknown},
+		"a job, key of another account":         {request: submit, code: planner.Invalid, want: planner.Unknown},
+		"a job, overload":                       {request: submit, code: planner.Overloaded, want: planner.Unknown},
+		"a job, no configuration":               {request: submit, code: planner.Unavailable, want: planner.Unknown},
+		"a job that the new leader accepts":     {request: submit, code: planner.OK, want: planner.OK},
+		"a job, first attempt not delivered":    {request: submit, code: planner.Unauthorized, undelivered: true, want: planner.Unauthorized},
+		"a cancel, withdrawn key":               {request: cancel, code: planner.Unauthorized, want: planner.Unknown},
+		"a cancel of a job that is gone":        {request: cancel, code: planner.JobNotFound, want: planner.JobNotFound},
+		"a read, which changes nothing":         {request: planner.GetJob{ID: "00000000000000aa"}, code: planner.Unauthorized, want: planner.Unauthorized},
+		"a configuration that is refused later": {request: planner.PutConfig{}, code: planner.Invalid, want: planner.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, w := newSettled(t)
+				f.set(func(f *fakeMesh) {
+					f.silent["a"], f.down["a"] = !c.undelivered, c.undelivered
+					f.reply.Code = c.code
+				})
+				var group sync.WaitGroup
+				var reply planner.Reply
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+					defer cancel()
+					reply = w.Do(ctx, c.request)
+				})
+				time.Sleep(100 * time.Millisecond)
+				f.set(func(f *fakeMesh) { f.leader, f.term = "b", 2 })
+				group.Wait()
+				is.New(t).Equal(reply.Code, c.want)
+			})
+		})
+	}
+}
