router: the refusal of a withdrawn key doesn't speak for an earlier send

A send may have reached the former scheduler, which ran the request; the key is withdrawn; the next send is refused by serveSubmit, which checks the key before the log is searched for the request. decodeReply made NotRun Unknown for repeatable requests only.

Evidence: found by reading the related paths. TestSubmitOutcomeAfterResends, case "reply lost, then key withdrawn", failed before: NotRun for a request that may have run.

Change: the refusal of a key after a send that may have been delivered is Unknown for every request. Other refusals of requests that aren't repeatable stay NotRun, since their runs are in the log.

Result: go test ./router ./scheduler passes.

--- a/router/router.go
+++ b/router/router.go
@@ -165,7 +165,7 @@
 	for attempt := 0; ; attempt++ {
 		s.Request.Timeout = deadline - r.config.Clock.Now()
 		reply, err := r.send(ctx, home, s)
-		outcome, accepted, answered := decodeReply(reply, err, maybeDelivered && s.Request.Repeatable)
+		outcome, accepted, answered := decodeReply(reply, err, maybeDelivered, s.Request.Repeatable)
 		if answered && (accepted || !dispatcher.HolderChanged(outcome)) {
 			return outcome, accepted
 		}
@@ -187,11 +187,11 @@
 }
 
 // decodeReply returns the outcome in a scheduler's reply; answered is false if
-// there was none. maybeDelivered is set if an earlier send of a repeatable
-// request may have reached another scheduler. That one may have run the request
-// without a record in the log, so NotRun from the present scheduler becomes
-// Unknown.
-func decodeReply(reply submitReply, err error, maybeDelivered bool) (outcome dispatcher.Outcome, accepted, answered bool) {
+// there was none. maybeDelivered is set if an earlier send may have reached
+// another scheduler. That one may have run a repeatable request without a record
+// in the log, so NotRun from the present scheduler becomes Unknown. So does the
+// refusal of a key, which is checked before the log is searched for the request.
+func decodeReply(reply submitReply, err error, maybeDelivered, repeatable bool) (outcome dispatcher.Outcome, accepted, answered bool) {
 	if err != nil || reply.NotHolder {
 		return nil, false, false
 	}
@@ -202,12 +202,16 @@
 	if err != nil {
 		return dispatcher.Unknown{Refusal: internalError(err)}, false, true
 	}
-	if notRun, isNotRun := outcome.(dispatcher.NotRun); isNotRun && maybeDelivered {
+	if notRun, isNotRun := outcome.(dispatcher.NotRun); isNotRun && maybeDelivered && (repeatable || isKeyRefusal(notRun.Refusal)) {
 		return dispatcher.Unknown(notRun), false, true
 	}
 	return outcome, false, true
 }
 
+func isKeyRefusal(r dispatcher.Refusal) bool {
+	return r.Reason == dispatcher.ReasonKeyRefused || r.Reason == dispatcher.ReasonKeysStale
+}
+
 // isMaybeDelivered reports whether a failed send may have reached a scheduler.
 func isMaybeDelivered(err error) bool {
 	if err == nil {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -80,9 +80,11 @@
 
 // TestSubmitOutcomeAfterResends checks that a resend keeps the request's id, and
 // that NotRun becomes Unknown if an earlier send of a repeatable request may have
-// been delivered.
+// been delivered. A withdrawn key is refused before the log is searched, so its
+// refusal says nothing about an earlier send of any request.
 func TestSubmitOutcomeAfterResends(t *testing.T) {
 	refused := dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonOverloaded}}
+	withdrawn := dispatcher.NotRun{Refusal: dispatcher.Refusal{Reason: dispatcher.ReasonKeyRefused}}
 	done := dispatcher.Done{Answer: []byte("whole answer")}
 	cases := map[string]struct {
 		answers    []fakeReply
@@ -97,6 +99,8 @@
 		"reply lost, then answered":                {answers: []fakeReply{failsWith(true), repliesWith(done)}, want: done, sends: 2},
 		"reply lost, then refused, repeatable":     {answers: []fakeReply{failsWith(true), repliesWith(refused)}, repeatable: true, want: dispatcher.Unknown(refused), sends: 2},
 		"reply lost, then refused, not repeatable": {answers: []fakeReply{failsWith(true), repliesWith(refused)}, want: refused, sends: 2},
+		"reply lost, then key withdrawn":           {answers: []fakeReply{failsWith(true), repliesWith(withdrawn)}, want: dispatcher.Unknown(withdrawn), sends: 2},
+		"never delivered, then key withdrawn":      {answers: []fakeReply{failsWith(false), repliesWith(withdrawn)}, want: withdrawn, sends: 2},
 		"sent to a former holder first":            {answers: []fakeReply{repliesNotHolder, repliesWith(done)}, want: done, sends: 2},
 	}
 	for name, c := range cases {
