--- a/planner/job.go
+++ b/planner/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
@@ -66,10 +67,16 @@
 
 // isJob reports whether a request's path is that of the job in its queue.
 func isJob(route *keeper.QueueRoute, to Address, id keeper.JobID) bool {
-	return len(id) == idLength && to.Path == route.PathPrefix+string(id)
+	return isJobID(id) && to.Path == route.PathPrefix+string(id)
 }
 
-// idLength is the number of digits of a job's id.
+// isJobID reports whether an id has the form of a job's. The names of tasks, in which dots
+// follow the id, are ambiguous for others.
+func isJobID(id keeper.JobID) bool {
+	return len(id) == idLength && strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
+}
+
+// idLength is the number of hexadecimal digits of a job's id.
 const idLength = 16
 
 func (p *Planner) submit(r Submit) Reply {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -87,6 +87,8 @@
 		"no queue":           {path: "/x/" + string(jobID), key: "k", id: jobID, want: planner.QueueNotFound},
 		"no id":              {path: "/q/short", key: "k", id: "short", want: planner.Invalid},
 		"a longer path":      {path: "/q/more/" + string(jobID), key: "k", id: jobID, want: planner.Invalid},
+		"an id with a dot":   {path: "/q/0000000000000.aa", key: "k", id: "0000000000000.aa", want: planner.Invalid},
+		"not hexadecimal":    {path: "/q/0000000000000xyz", key: "k", id: "0000000000000xyz", want: planner.Invalid},
 		"unknown key, no id": {path: "/q/short", key: "other", id: "short", want: planner.Unauthorized},
 	} {
 		t.Run(name, func(t *testing.T) {
