--- a/planner/job.go
+++ b/planner/job.go
@@ -110,6 +110,11 @@
 const (
 	maxSteps = 1000
 	maxTasks = 100000
+	// maxStepNeed bounds what the tasks of a step need together, in each dimension. Sums over
+	// steps and products with small factors stay within 64 bits.
+	maxStepNeed = 1 << 52
+	// maxTime bounds times of the job and durations.
+	maxTime = 1 << 50 * clock.Millisecond
 )
 
 // checkSubmission returns why a submission is invalid. It returns an empty string if it is
@@ -123,6 +128,12 @@
 		if s.Count < 1 || s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 || s.MaxPerUpstream < 0 {
 			return fmt.Sprintf("step %d has no tasks or a negative amount", i)
 		}
+		if most := int64(maxStepNeed / s.Count); int64(s.Need.CPU) > most || int64(s.Need.Memory) > most || int64(s.Need.Accelerators) > most {
+			return fmt.Sprintf("the tasks of step %d need more than any cell has", i)
+		}
+		if s.Estimate < 0 || s.Estimate > maxTime {
+			return fmt.Sprintf("the estimate of step %d is negative or too large", i)
+		}
 		if tasks += s.Count; tasks > maxTasks {
 			return fmt.Sprintf("a job has at most %d tasks", maxTasks)
 		}
@@ -135,6 +146,9 @@
 	if submission.Repeat < 0 || submission.Repeat > 0 && submission.Interval < 0 {
 		return "the times of the job are negative"
 	}
+	if submission.StartAt > maxTime || submission.Interval > maxTime {
+		return "the times of the job are too large"
+	}
 	return ""
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -107,6 +108,12 @@
 		"depends on itself":       {Steps: []keeper.Step{{Count: 1, DependsOn: []int{0}}}},
 		"depends on a later step": {Steps: []keeper.Step{{Count: 1, DependsOn: []int{1}}, {Count: 1}}},
 		"too many tasks":          {Steps: []keeper.Step{{Count: 1 << 30}}},
+		"a negative estimate":     {Steps: []keeper.Step{{Count: 1, Estimate: -1}}},
+		"an estimate too large":   {Steps: []keeper.Step{{Count: 1, Estimate: math.MaxInt64}}},
+		"a CPU too large":         {Steps: []keeper.Step{{Count: 1, Need: unit.Resources{CPU: math.MaxInt64}}}},
+		"a memory sum too large":  {Steps: []keeper.Step{{Count: 1000, Need: unit.Resources{Memory: 1 << 54}}}},
+		"an interval too large":   {Steps: []keeper.Step{{Count: 1}}, Repeat: 9, Interval: math.MaxInt64},
+		"a start too late":        {Steps: []keeper.Step{{Count: 1}}, Repeat: 9, StartAt: math.MaxInt64},
 		"negative repeats":        {Steps: []keeper.Step{{Count: 1}}, Repeat: -1},
 	} {
 		t.Run(name, func(t *testing.T) {
