planner: queue the due occurrences of a repeated job gradually

Evidence: found by reading. TestDueOccurrencesAreOpenedGradually failed before: one job of 200,000 occurrences had as many steps queued after 50 ms.

Change: at most 1,000 steps of a repeated job are queued at a time; the next occurrences follow as earlier ones are done.

Result: go test ./planner passes.

--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -840,3 +840,28 @@
 		})
 	}
 }
+
+// TestDueOccurrencesAreOpenedGradually guards against a leader, and each of its successors,
+// that runs out of memory: a job repeats so often that more of its occurrences are due at once
+// than can be queued. All that are due must still run, also after a hand-over.
+func TestDueOccurrencesAreOpenedGradually(t *testing.T) {
+	is := is.New(t)
+	sim := newCalmSimulation(t, func(*keeper.Config) {})
+	huge := newSubmission(100, 1)
+	huge.Repeat = 200_000
+	is.Equal(sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: huge}).Code, planner.OK)
+	const other keeper.JobID = "00000000000000ac"
+	repeated := newSubmission(10, 1)
+	repeated.Repeat = 1500
+	is.Equal(sim.request(planner.Submit{Address: address(other), ID: other, Submission: repeated}).Code, planner.OK)
+	sim.step(50)
+	is.True(sim.planner.Status().Queues["q"].Steps <= 2000)
+	sim.request(planner.Cancel{Address: address(jobID), ID: jobID})
+	for i := range 600 {
+		if i == 20 {
+			sim.takeOver()
+		}
+		sim.step(50)
+	}
+	is.Equal(sim.log.Jobs[other].Phase, keeper.Completed)
+}
--- a/planner/step.go
+++ b/planner/step.go
@@ -93,7 +93,12 @@
 	p.nextOccurrence[j.ID] = 0
 }
 
-// openDueOccurrences queues the steps of the occurrences that have become due.
+// maxOpenSteps bounds the queued steps of a repeated job, of which any number of occurrences
+// may be due at once.
+const maxOpenSteps = 1000
+
+// openDueOccurrences queues the steps of the occurrences that have become due. Those beyond
+// maxOpenSteps follow as earlier ones are done.
 func (p *Planner) openDueOccurrences() {
 	for _, id := range slices.Sorted(maps.Keys(p.nextOccurrence)) {
 		next := p.nextOccurrence[id]
@@ -102,7 +107,8 @@
 			delete(p.nextOccurrence, id)
 			continue
 		}
-		for next < j.OccurrenceCount() && j.DueAt(next) <= p.now {
+		open := max(maxOpenSteps/len(j.Submission.Steps), 1)
+		for next < j.OccurrenceCount() && j.DueAt(next) <= p.now && next-j.DoneOccurrences < open {
 			p.queueReadySteps(j, next)
 			next++
 		}
