driver: commit as many entries of the log as the commands need

All commands decided during a commit became one entry of the log. The log refuses one above 4 MiB; commitBatch took that for an unknown result, and no session starts again in a term with one, while the leader stays the leader of the log.

TestBurstOfLargeJobsIsCommitted and TestOutputBeyondAnEntryIsCommitted failed before; TestOversizedRequestIsInvalidAtOnce guards the third path to the same end, a request that no entry can hold.

Change: the outputs of events stay apart until they are committed. They share an entry as long as it is small enough, and are halved otherwise; the output of one event is only cut if it alone is too large. Effects follow the commit of the output they came with, as before. ErrTooLarge counts as not appended. An entry instance refuses a request that can't fit.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -190,8 +190,16 @@
 	Reply   planner.Reply
 }
 
-// Serve handles MethodRequest. It returns an error if body can't be decoded.
+// MaxRequestBytes bounds an encoded request, so that the command that follows from it fits
+// into an entry of the log.
+const MaxRequestBytes = replicator.MaxCommandBytes - 64<<10
+
+// Serve handles MethodRequest. It returns an error if body can't be decoded or is longer
+// than MaxRequestBytes.
 func (d *Driver) Serve(ctx context.Context, _ unit.Instance, body []byte) ([]byte, error) {
+	if len(body) > MaxRequestBytes {
+		return nil, errors.Newf("a request of %d bytes", len(body))
+	}
 	r, err := planner.DecodeRequest(body)
 	if err != nil {
 		return nil, err
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,6 +39,9 @@
 	l.mu.Lock()
 	delay, fail := l.delay, l.fail
 	l.mu.Unlock()
+	if len(command) > replicator.MaxCommandBytes {
+		return nil, replicator.ErrTooLarge
+	}
 	select {
 	case <-time.After(delay):
 	case <-ctx.Done():
@@ -276,3 +281,47 @@
 		is.Equal(response.Leader, unit.Instance("other"))
 	})
 }
+
+// TestBurstOfLargeJobsIsCommitted guards against the end of all service: large jobs that
+// arrive during a commit need more than an entry of the log together, and a session that
+// can't commit them never starts again in its term.
+func TestBurstOfLargeJobsIsCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, _ := newLeader(t)
+		l.set(func(l *fakeLog) { l.delay = 50 * time.Millisecond })
+		const jobs = 24
+		codes := make(chan planner.Code, jobs)
+		var group sync.WaitGroup
+		for i := range jobs {
+			large := submit().(planner.Submit)
+			large.ID = keeper.JobID(fmt.Sprintf("%016x", i))
+			large.Address.Path = "/q/" + string(large.ID)
+			large.Submission.Steps[0].Image = strings.Repeat("x", 250_000)
+			group.Go(func() { codes <- ask(d, large).Reply.Code })
+		}
+		group.Wait()
+		for range jobs {
+			is.Equal(<-codes, planner.OK)
+		}
+		time.Sleep(time.Second)
+		is.Equal(ask(d, planner.GetJob{Address: planner.Address{Host: "h", Path: "/q/0000000000000001", APIKey: "k"}, ID: "0000000000000001"}).Reply.Code, planner.OK)
+	})
+}
+
+// TestOutputBeyondAnEntryIsCommitted guards against the same end by a single event: the
+// starts of one pass need more than an entry of the log.
+func TestOutputBeyondAnEntryIsCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, _, u := newLeader(t)
+		is.Equal(ask(d, planner.ReportUpstream{Upstream: keeper.Upstream{
+			ID: unit.Upstream(strings.Repeat("u", 9000)), Incarnation: 1, Address: "u2:1", Service: "s", Capacity: unit.Resources{CPU: 5000},
+		}, Clock: 1, Seq: 1}).Reply.Code, planner.OK)
+		many := submit().(planner.Submit)
+		many.Submission.Steps[0].Count, many.Submission.Steps[0].Need.CPU = 2000, 1
+		is.Equal(ask(d, many).Reply.Code, planner.OK)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(u.startTokens()), 2000)
+	})
+}
--- a/driver/session.go
+++ b/driver/session.go
@@ -49,18 +49,20 @@
 
 	mu      sync.Mutex
 	planner *planner.Planner
-	pending batch
+	// pending are the outputs of events that aren't committed yet, in their order.
+	pending []output
 	lag     lag
 	// polled is the set of upstreams that have a polling goroutine.
 	polled map[unit.Upstream]bool
 }
 
-// batch is commands that are committed together, with the effects to execute and the
-// barriers to close after the commit.
-type batch struct {
+// output is the planner's output for one event: its commands, the effects to execute after
+// their commit, and a barrier to close after it, or nil. The commands of an output are
+// committed as one entry of the log unless they are too large for that.
+type output struct {
 	commands []keeper.Command
 	effects  []planner.Effect
-	barriers []chan struct{}
+	barrier  chan struct{}
 }
 
 func newSession(ctx context.Context, d *Driver, term replicator.Term, token uint64, since clock.Millis) (*session, error) {
@@ -121,8 +123,7 @@
 	if len(commands) == 0 && len(effects) == 0 {
 		return
 	}
-	s.pending.commands = append(s.pending.commands, commands...)
-	s.pending.effects = append(s.pending.effects, effects...)
+	s.pending = append(s.pending, output{commands: commands, effects: effects})
 	signal(s.commitReady)
 }
 
@@ -207,8 +208,8 @@
 	return nil
 }
 
-// runCommits commits one batch at a time. Commands that are decided during a commit
-// form the next batch.
+// runCommits commits the pending outputs. Those that are added during a commit are
+// committed together in the next one.
 func (s *session) runCommits() error {
 	for {
 		select {
@@ -217,10 +218,10 @@
 		case <-s.commitReady:
 		}
 		s.mu.Lock()
-		b := s.pending
-		s.pending = batch{}
+		outputs := s.pending
+		s.pending = nil
 		s.mu.Unlock()
-		if !s.commitBatch(b) {
+		if !s.commit(outputs) {
 			// The planner's state contains commands that the log may never contain, so
 			// the session can't continue.
 			s.stop()
@@ -229,28 +230,49 @@
 	}
 }
 
-// commitBatch commits a batch and executes its effects once the lease is valid. It
-// returns false if the session must end.
-func (s *session) commitBatch(b batch) bool {
-	if len(b.commands) > 0 {
-		started := time.Now()
-		if _, err := s.d.cfg.Log.Propose(s.ctx, keeper.EncodeBatch(b.commands)); err != nil {
-			s.log.WithError(err).Warn("a batch of commands was not committed, or its result is unknown")
-			s.resultUnknown = !errors.As(err, new(*replicator.NotLeaderError))
-			return false
-		}
-		s.d.metrics.commit.RecordDuration(time.Since(started))
-		s.logCommands(b.commands)
+// commit commits outputs as one entry of the log, or as several if they are too large, and
+// executes their effects once the lease is valid. It returns false if the session must end.
+func (s *session) commit(outputs []output) bool {
+	var commands []keeper.Command
+	for _, o := range outputs {
+		commands = append(commands, o.commands...)
+	}
+	entry := keeper.EncodeBatch(commands)
+	if len(entry) > replicator.MaxCommandBytes && len(outputs) > 1 {
+		half := len(outputs) / 2
+		return s.commit(outputs[:half]) && s.commit(outputs[half:])
 	}
-	if !s.awaitLease() {
+	if len(commands) > 0 && !s.propose(commands, entry) || !s.awaitLease() {
 		return false
 	}
-	for _, c := range b.barriers {
-		close(c)
+	for _, o := range outputs {
+		if o.barrier != nil {
+			close(o.barrier)
+		}
+		for _, e := range o.effects {
+			s.execute(e)
+		}
 	}
-	for _, e := range b.effects {
-		s.execute(e)
+	return true
+}
+
+// propose commits commands, which entry encodes. If the entry is too large, it commits them
+// in several entries. A leader that fails in between leaves a part of them, which is safe:
+// no effect of theirs has been executed, and its successor handles runs that were never
+// started and gangs that lack members.
+func (s *session) propose(commands []keeper.Command, entry []byte) bool {
+	if len(entry) > replicator.MaxCommandBytes && len(commands) > 1 {
+		first, second := commands[:len(commands)/2], commands[len(commands)/2:]
+		return s.propose(first, keeper.EncodeBatch(first)) && s.propose(second, keeper.EncodeBatch(second))
+	}
+	started := time.Now()
+	if _, err := s.d.cfg.Log.Propose(s.ctx, entry); err != nil {
+		s.log.WithError(err).WithField("Bytes", len(entry)).Warn("a batch of commands was not committed, or its result is unknown")
+		s.resultUnknown = !errors.As(err, new(*replicator.NotLeaderError)) && !errors.Is(err, replicator.ErrTooLarge)
+		return false
 	}
+	s.d.metrics.commit.RecordDuration(time.Since(started))
+	s.logCommands(commands)
 	return true
 }
 
@@ -269,7 +291,7 @@
 // committed. The caller must hold s.mu.
 func (s *session) barrier() <-chan struct{} {
 	done := make(chan struct{})
-	s.pending.barriers = append(s.pending.barriers, done)
+	s.pending = append(s.pending, output{barrier: done})
 	signal(s.commitReady)
 	return done
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -149,6 +149,9 @@
 // counts as unreachable.
 func (f *Forwarder) Do(ctx context.Context, r planner.Request) planner.Reply {
 	body := planner.EncodeRequest(r)
+	if len(body) > driver.MaxRequestBytes {
+		return planner.Reply{Code: planner.Invalid, Message: "the request is too large for the log"}
+	}
 	maybeDelivered := false
 	var lastErr error
 	for ctx.Err() == nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/forwarder"
 	"github.com/chervilvane/chervilvane/instance"
+	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/planner"
 	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
@@ -298,3 +299,16 @@
 		})
 	}
 }
+
+// TestOversizedRequestIsInvalidAtOnce guards against a request that no leader can commit: it
+// would be repeated until its caller's deadline.
+func TestOversizedRequestIsInvalidAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, w := newSettled(t)
+		began := time.Now()
+		is.Equal(w.Do(t.Context(), planner.PutConfig{Config: keeper.Config{Document: make([]byte, driver.MaxRequestBytes)}}).Code, planner.Invalid)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(f.requests["a"], 0)
+	})
+}
