planner: a late report doesn't take back a draining that a former leader recorded

A heartbeat from before the draining, held up by a cut, was the new leader's first report of the worker and counted as the newest.

TestLateReportAfterHandOverKeepsDraining failed before in its first two cases.

Change: a draining that is known from the state only is taken back by a report that the upstream sent after its first answer to this leader, by its own steady clock; an earlier one counts as late. Any other first report ends that rule, since reportSeq is known from then on. Nothing that is stored or sent changes. Ruled out: keeping the sequence number in the state, which would change the format of the log.

--- a/planner/incarnation_test.go
+++ b/planner/incarnation_test.go
@@ -149,3 +149,46 @@
 		})
 	}
 }
+
+// TestLateReportAfterHandOverKeepsDraining guards against starts on an upstream that leaves:
+// a report from before it began to drain reaches a new leader, which doesn't know the sequence
+// number of the last report. A report from after the hand-over may take the draining back.
+func TestLateReportAfterHandOverKeepsDraining(t *testing.T) {
+	for name, c := range map[string]struct {
+		polled, resumes bool
+		starts          int
+	}{
+		"before the first poll": {},
+		"after the first poll":  {polled: true},
+		"ready again":           {polled: true, resumes: true, starts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(*keeper.Config) {})
+			u := sim.upstreams[0]
+			late := planner.Report{Upstream: u.describe(), Clock: u.clock(), Seq: 100}
+			for _, o := range sim.upstreams {
+				o.draining, o.seq = true, 100
+			}
+			sim.step(10)
+			sim.takeOver()
+			if c.polled {
+				for range 10 {
+					sim.step(50)
+				}
+				sim.takeOver()
+				sim.planner.HandlePollResult(sim.now, sim.now, planner.Target{ID: u.id, Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: u.clock()})
+			}
+			report := late
+			if c.resumes {
+				report.Clock, report.Seq = u.clock()+1, 200
+			}
+			sim.planner.HandleReport(sim.now, report, func() {})
+			sim.planner.HandleReport(sim.now, late, func() {})
+			sim.planner.HandlePollResult(sim.now, sim.now, planner.Target{ID: u.id, Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: u.clock()})
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: newSubmission(1000, 1)})
+			sim.planner.Tick(sim.now)
+			is.Equal(len(acceptStarts(sim)), c.starts)
+		})
+	}
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -121,6 +121,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Upstreams)) {
 		u := newUpstream(state.Upstreams[id], c)
+		u.inheritedDraining = u.Draining
 		p.addUpstream(u)
 		for _, key := range u.SortedRuns() {
 			allocation := u.Runs[key]
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -98,6 +98,9 @@
 	}
 	u.tokenAcked, u.failing = true, false
 	u.updateClock(p.now, result.Clock)
+	if u.firstPollClock == 0 {
+		u.firstPollClock = result.Clock
+	}
 	for _, e := range result.Ended {
 		p.handleEnd(u, e)
 	}
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -31,6 +31,13 @@
 	tokenAcked bool
 	// listedAll is set once the upstream has listed all its runs and ends to this leader.
 	listedAll bool
+	// firstPollClock is the upstream's clock in its first answer to a poll of this leader; 0
+	// before it. What the upstream sent before it became known to this leader has an earlier
+	// reading.
+	firstPollClock clock.Millis
+	// inheritedDraining is set while the draining is known from a former leader only, whose
+	// reportSeq isn't known.
+	inheritedDraining bool
 	// failing is set when a poll or an order shows that the upstream has a problem. The
 	// next valid answer to a poll clears it.
 	failing bool
@@ -159,14 +166,28 @@
 	DrainRemaining clock.Millis
 }
 
+// isLate reports whether a report may be older than what is known of the upstream: it
+// describes an incarnation that has ended, a later report of its incarnation has arrived, or
+// it takes back a draining that a former leader recorded and was sent before the upstream
+// answered this leader.
+func (u *upstream) isLate(r Report) bool {
+	incarnation := r.Upstream.Incarnation
+	switch {
+	case incarnation != u.Incarnation:
+		return incarnation < u.Incarnation || incarnation <= u.lastEnded
+	case u.inheritedDraining && !r.Upstream.Draining && (u.firstPollClock == 0 || r.Clock < u.firstPollClock):
+		return true
+	}
+	return incarnation <= u.lastEnded || r.Seq <= u.reportSeq && u.reportSeq > 0
+}
+
 // HandleReport handles an upstream's report. It calls done once the report is durable. A
 // report of a former incarnation, or one that a later report overtook, changes nothing.
 func (p *Planner) HandleReport(now clock.Millis, r Report, done func()) {
 	p.now = max(p.now, now)
 	desc := r.Upstream
 	u := p.upstreams[desc.ID]
-	late := u != nil && (desc.Incarnation < u.Incarnation || desc.Incarnation <= u.lastEnded || desc.Incarnation == u.Incarnation && r.Seq <= u.reportSeq && u.reportSeq > 0)
-	if late || desc.Incarnation <= p.state.EndedIncarnations[desc.ID] {
+	if u != nil && u.isLate(r) || desc.Incarnation <= p.state.EndedIncarnations[desc.ID] {
 		p.addEffect(Respond{Send: done})
 		return
 	}
@@ -191,7 +212,7 @@
 		}
 	}
 	wasSchedulable := u.isSchedulable()
-	u.incarnation, u.reportSeq, u.deregistered, u.ended = desc.Incarnation, r.Seq, false, false
+	u.incarnation, u.reportSeq, u.deregistered, u.ended, u.inheritedDraining = desc.Incarnation, r.Seq, false, false, false
 	u.updateClock(p.now, r.Clock)
 	if !wasSchedulable && u.isSchedulable() {
 		p.markFreed(u)
@@ -276,7 +297,7 @@
 		}
 	}
 	u.incarnation = incarnation
-	u.reportSeq = 0
+	u.reportSeq, u.firstPollClock, u.inheritedDraining = 0, 0, false
 	u.tokenAcked, u.listedAll, u.failing, u.ended, u.restarted, u.pollingNow = false, false, false, false, false, false
 	u.hasClock, u.lastClock, u.leaseExpiry = false, 0, 0
 	u.leaseEndsAt = p.now + maxElapsed(p.cfg.MaxLease) + leaseMargin
