planner: an inherited run counts from when its start was applied

Cause: a new leader took each inherited run as one whose start may still be late, for 13.5 s from its own beginning. Ruled out: the time in StartRun, which is on the former leader's clock; a new command that says that a run was listed, which former builds can't read. Change: an instance dates the starts that it applies, on its own clock, and the driver sends no start later than 3 s after its decision. So an inherited start was sent at most 3 s after it was applied here. The state is cloned with these dates for a session.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -61,7 +61,10 @@
 	Upstreams UpstreamClient
 	Mesh      instance.Caller
 	Clock     clock.Clock
-	Planner   planner.Config
+	// BootTime reads the boot time clock, which also counts while the machine is suspended.
+	// If it is nil, Clock is used.
+	BootTime func() clock.Millis
+	Planner  planner.Config
 	// OnHeartbeat is called with each heartbeat of an instance, if it isn't nil.
 	OnHeartbeat func(planner.Heartbeat)
 	Logger      logrus.FieldLogger
@@ -94,6 +97,9 @@
 
 // New returns a driver.
 func New(c Config) *Driver {
+	if c.BootTime == nil {
+		c.BootTime = c.Clock.Now
+	}
 	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{}), lastHeartbeats: map[unit.Instance]clock.Millis{}}
 }
 
--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -270,6 +270,24 @@
 	})
 }
 
+// TestDelayedStartIsNotSent guards against a start that is sent long after its decision,
+// since the commit took too long: a later leader relies on planner.MaxStartDelay to tell
+// which starts may still be executed late.
+func TestDelayedStartIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := newLeader(t)
+		l.set(func(l *fakeLog) { l.delay = planner.MaxStartDelay.Duration() + time.Second })
+		_ = ask(d, submit())
+		// The job and then the start are committed.
+		time.Sleep(3 * (planner.MaxStartDelay.Duration() + time.Second))
+		is.Equal(len(u.startTokens()), 0)
+		l.set(func(l *fakeLog) { l.delay = 5 * time.Millisecond })
+		time.Sleep(2*planner.MaxStartDelay.Duration() + 5*time.Second)
+		is.Equal(len(u.startTokens()), 1)
+	})
+}
+
 func TestFollowerNamesTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/driver/effect.go
+++ b/driver/effect.go
@@ -23,13 +23,14 @@
 	pollRetryDelay = 250 * clock.Millisecond
 )
 
-// execute starts to execute an effect; it doesn't wait for the result.
-func (s *session) execute(e planner.Effect) {
+// execute starts to execute an effect that was decided at the given boot time; it doesn't
+// wait for the result.
+func (s *session) execute(e planner.Effect, decidedAt clock.Millis) {
 	switch e := e.(type) {
 	case planner.Respond:
 		e.Send()
 	case planner.Start:
-		s.orders.Go(func() { s.sendStart(e) })
+		s.orders.Go(func() { s.sendStart(e, decidedAt) })
 	case planner.Stop:
 		s.orders.Go(func() { s.sendStop(e) })
 	case planner.PollNow:
@@ -46,7 +47,9 @@
 // expired.
 var errLeaseExpired = errors.New("the lease of the log's leader has expired")
 
-func (s *session) sendStart(e planner.Start) {
+// sendStart sends a start. It doesn't send one that was decided more than MaxStartDelay
+// ago: a later leader relies on that for the runs that it inherits.
+func (s *session) sendStart(e planner.Start, decidedAt clock.Millis) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
 	defer cancel()
 	var result planner.OrderResult = planner.Indeterminate{Err: errLeaseExpired}
@@ -54,7 +57,10 @@
 	started := time.Now()
 	// The lease is checked right before sending, since the steps before may have
 	// been delayed.
-	if s.d.holdsLease(s.term) {
+	switch {
+	case s.d.cfg.BootTime()-decidedAt > planner.MaxStartDelay:
+		result = planner.Refused{Reason: planner.RefusedExpired}
+	case s.d.holdsLease(s.term):
 		result, upstreamClock = s.d.cfg.Upstreams.Start(ctx, s.token, e)
 		s.d.metrics.start.RecordDuration(time.Since(started))
 	}
--- a/driver/session.go
+++ b/driver/session.go
@@ -63,11 +63,13 @@
 	commands []keeper.Command
 	effects  []planner.Effect
 	barrier  chan struct{}
+	// decidedAt is a time between the decisions and their proposal, by Config.BootTime.
+	decidedAt clock.Millis
 }
 
 func newSession(ctx context.Context, d *Driver, term replicator.Term, token uint64, since clock.Millis) (*session, error) {
-	state := keeper.New()
-	if err := state.Restore(d.cfg.State.Snapshot()); err != nil {
+	state, err := d.cfg.State.Clone()
+	if err != nil {
 		return nil, err
 	}
 	c := d.cfg.Planner
@@ -123,7 +125,7 @@
 	if len(commands) == 0 && len(effects) == 0 {
 		return
 	}
-	s.pending = append(s.pending, output{commands: commands, effects: effects})
+	s.pending = append(s.pending, output{commands: commands, effects: effects, decidedAt: s.d.cfg.BootTime()})
 	signal(s.commitReady)
 }
 
@@ -250,7 +252,7 @@
 			close(o.barrier)
 		}
 		for _, e := range o.effects {
-			s.execute(e)
+			s.execute(e, o.decidedAt)
 		}
 	}
 	return true
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
@@ -25,6 +26,9 @@
 	EndedIncarnations map[unit.Upstream]Incarnation
 	// Used is the sum of the needs of each account's live runs.
 	Used map[unit.ClientAccount]unit.Resources
+
+	// Now reads the clock that dates Allocation.AppliedAt on this replica. It may be nil.
+	Now func() clock.Millis
 }
 
 var _ replicator.StateMachine = (*State)(nil)
@@ -67,6 +71,10 @@
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.marshal()
+}
+
+func (s *State) marshal() []byte {
 	var out snapshot
 	out.Config, out.EndedIncarnations = s.Config, s.EndedIncarnations
 	for _, u := range s.Upstreams {
@@ -80,6 +88,31 @@
 	return encoder.Marshal(out)
 }
 
+// Clone returns a copy of the state, which no log is applied to. Unlike a snapshot, it
+// includes what only this replica knows.
+func (s *State) Clone() (*State, error) {
+	s.mu.Lock()
+	data := s.marshal()
+	appliedAt := map[RunKey]clock.Millis{}
+	for _, u := range s.Upstreams {
+		for key, allocation := range u.Runs {
+			appliedAt[key] = allocation.AppliedAt
+		}
+	}
+	s.mu.Unlock()
+	clone := New()
+	if err := clone.Restore(data); err != nil {
+		return nil, err
+	}
+	for _, u := range clone.Upstreams {
+		for key, allocation := range u.Runs {
+			allocation.AppliedAt = appliedAt[key]
+			u.Runs[key] = allocation
+		}
+	}
+	return clone, nil
+}
+
 func compare[T ~string](a, b T) int {
 	switch {
 	case a < b:
@@ -129,8 +162,14 @@
 // charge adds the need of a live run to Used of its upstream and its account.
 func (s *State) charge(j *Job, t TaskID, r *Run) {
 	need := s.NeedOf(&j.Submission.Steps[t.Step])
+	var appliedAt clock.Millis
+	if s.Now != nil {
+		appliedAt = s.Now()
+	}
 	if u := s.Upstreams[r.Upstream]; u != nil {
-		u.Runs[RunKey{Task: t, Number: r.Number}] = Allocation{Need: need, Account: j.Account, Incarnation: r.Incarnation, StartedAt: r.StartedAt}
+		u.Runs[RunKey{Task: t, Number: r.Number}] = Allocation{
+			Need: need, Account: j.Account, Incarnation: r.Incarnation, StartedAt: r.StartedAt, AppliedAt: appliedAt,
+		}
 		u.Used = u.Used.Add(need)
 	}
 	s.Used[j.Account] = s.Used[j.Account].Add(need)
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -83,4 +83,7 @@
 	Account     unit.ClientAccount
 	Incarnation Incarnation
 	StartedAt   clock.Millis
+	// AppliedAt is when this replica applied the start or restored it from a snapshot, by
+	// State.Now; 0 if unknown. It isn't part of the replicated state.
+	AppliedAt clock.Millis
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -125,7 +125,7 @@
 		p.addUpstream(u)
 		for _, key := range u.SortedRuns() {
 			allocation := u.Runs[key]
-			p.addRun(u, &run{key: key, incarnation: allocation.Incarnation, inherited: true, recordedAt: allocation.StartedAt})
+			p.addRun(u, &run{key: key, incarnation: allocation.Incarnation, inherited: true, recordedAt: allocation.StartedAt, appliedAt: allocation.AppliedAt})
 		}
 	}
 	p.repeatStops()
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -563,6 +563,48 @@
 	t.Fatal("the task was never started again")
 }
 
+// TestInheritedRunOfLostUpstreamRestarts guards against a long-running task that waits
+// after each hand-over until no order of the former leader can be late, although its start is
+// long past; and against one that doesn't wait although its start may still be late.
+func TestInheritedRunOfLostUpstreamRestarts(t *testing.T) {
+	for name, c := range map[string]struct {
+		// ran is how long the run has lasted at the hand-over. From then on the start must
+		// come after earliest and before latest.
+		ran, earliest, latest clock.Millis
+	}{
+		"started long before the hand-over": {ran: 20 * clock.Second, earliest: maxLease, latest: maxLease + clock.Second},
+		"started just before the hand-over": {ran: 500, earliest: 12 * clock.Second, latest: 17 * clock.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(*keeper.Config) {})
+			submission := newSubmission(1000, 1)
+			submission.Steps[0].LongRunning = true
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: submission})
+			sim.step(10)
+			sim.step(10)
+			is.Equal(sim.countRunning(), 1)
+			sim.prolongRuns(jobID)
+			for began := sim.now; sim.now < began+c.ran; {
+				sim.step(50)
+			}
+			for _, u := range sim.upstreams {
+				if len(u.runs) > 0 {
+					u.up = false
+				}
+			}
+			sim.takeOver()
+			handOver := sim.now
+			for len(sim.started) < 2 && sim.now < handOver+30*clock.Second {
+				sim.step(50)
+			}
+			if waited := sim.now - handOver; waited < c.earliest || waited > c.latest {
+				t.Errorf("the task started %s after the hand-over, want %s to %s", waited, c.earliest, c.latest)
+			}
+		})
+	}
+}
+
 func TestJobFailsAfterMaxAttempts(t *testing.T) {
 	is := is.New(t)
 	sim := newCalmSimulation(t, func(*keeper.Config) {})
--- a/planner/run.go
+++ b/planner/run.go
@@ -19,8 +19,10 @@
 	job        *keeper.Job
 	spec       *keeper.Step
 	recordedAt clock.Millis
-	// inherited is set if a former leader ordered the start.
+	// inherited is set if a former leader ordered the start. appliedAt is then the time at
+	// which this instance applied the entry that records the start; 0 if unknown.
 	inherited bool
+	appliedAt clock.Millis
 	// orphan is set if the run isn't in the state; it only has to be stopped.
 	orphan bool
 	// listed is set once the incarnation to which the start was sent has listed the run.
@@ -52,13 +54,21 @@
 // mayStartLate reports whether the start may still be executed.
 func (r *run) mayStartLate() bool { return r.ackedAt == 0 && !r.inherited }
 
+// MaxStartDelay bounds the time from the decision to start a run until the driver sends the
+// order. It must be longer than a commit takes on an overloaded leader.
+const MaxStartDelay = 3 * clock.Second
+
 // lastSentAt returns the latest time at which the start can have been sent. For an
-// inherited run that is the time at which this instance became leader.
+// inherited run that is MaxStartDelay after this instance applied the start, which it did
+// after the decision, and at the latest the time at which it became leader.
 func (r *run) lastSentAt(since clock.Millis) clock.Millis {
-	if r.inherited {
+	switch {
+	case !r.inherited:
+		return r.sentAt
+	case r.appliedAt == 0:
 		return since
 	}
-	return r.sentAt
+	return min(since, r.appliedAt+MaxStartDelay)
 }
 
 // updateProgress records the run's latest checkpoint and progress.
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -85,6 +85,7 @@
 		u.restart()
 		sim.upstreams = append(sim.upstreams, u)
 	}
+	sim.log.Now = func() clock.Millis { return sim.now }
 	sim.log.ApplyCommand(keeper.SetConfig{Config: config(0)})
 	sim.takeOver()
 	return sim
@@ -111,8 +112,8 @@
 func (sim *simulation) takeOver() {
 	sim.term++
 	sim.logEvent("new leader %d", sim.term)
-	state := keeper.New()
-	if err := state.Restore(sim.log.Snapshot()); err != nil {
+	state, err := sim.log.Clone()
+	if err != nil {
 		sim.failf("restoring the committed state: %v", err)
 	}
 	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour}, state)
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -162,6 +162,7 @@
 		return nil, err
 	}
 	state := keeper.New()
+	state.Now = clk.Now
 	c := replicator.Config{
 		ID: mesh.Self(), Incarnation: storage.Incarnation(), LogID: "domain",
 		Seeds: s.Seeds, TargetVoters: 2*s.FaultTolerance + 1, DeadMemberTimeout: domainDeadMemberTimeout,
@@ -178,7 +179,7 @@
 	relay := relayer.New(relayer.Config{Self: mesh.Self(), Mesh: mesh, Local: client, Clock: clk, BootTime: clock.BootTime, Logger: l, Metrics: m})
 	mesh.Handle(relayer.MethodOrder, relay.Serve)
 	d := driver.New(driver.Config{
-		Self: mesh.Self(), Log: node, State: state, Upstreams: relay, OnHeartbeat: relay.HandleHeartbeat, Mesh: mesh, Clock: clk, Logger: l, Metrics: m,
+		Self: mesh.Self(), Log: node, State: state, Upstreams: relay, OnHeartbeat: relay.HandleHeartbeat, Mesh: mesh, Clock: clk, BootTime: clock.BootTime, Logger: l, Metrics: m,
 		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
