planner: entitlements by weight, a busy advice service, jobs that can't be served

Cause: the service was the bottleneck: all 32 instances had a request in progress while 65 to 73 % of the processors were in use. Of an instance's time a quarter passed while answers and requests were on their way (228 ms a cycle, 175 ms of it the service's work). Half of the requests asked about further upstreams although the granted ones would have had capacity. The surplus of one account was held back only by what it had running. Change: an instance may have a second request shortly before the first is done; core instances request tickets while all others are busy; requests don't wait for a commit; no request about further upstreams while the service is scarce and the granted ones suffice. Jobs that the domain can't serve as it is are refused. Refusals say different times to return.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -92,7 +92,13 @@
 	session *session
 	// lastHeartbeats is when each instance that can request tickets last sent a
 	// heartbeat.
-	lastHeartbeats map[unit.Instance]clock.Millis
+	lastHeartbeats map[unit.Instance]receivedHeartbeat
+}
+
+// receivedHeartbeat is the last heartbeat of an instance and when it was received.
+type receivedHeartbeat struct {
+	planner.Heartbeat
+	at clock.Millis
 }
 
 // New returns a driver.
@@ -100,7 +106,7 @@
 	if c.BootTime == nil {
 		c.BootTime = c.Clock.Now
 	}
-	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{}), lastHeartbeats: map[unit.Instance]clock.Millis{}}
+	return &Driver{cfg: c, log: c.Logger, metrics: newMetrics(c.Metrics), done: make(chan struct{}), lastHeartbeats: map[unit.Instance]receivedHeartbeat{}}
 }
 
 // Run starts and ends sessions until ctx is done.
@@ -220,6 +226,8 @@
 	resp := Response{Leader: st.Leader, Term: st.Term, Members: memberIDs(st.Membership)}
 	heartbeat, isHeartbeat := r.(planner.Heartbeat)
 	if isHeartbeat {
+		// The leader's own processor is the scarcest.
+		heartbeat.RequestsTickets = heartbeat.RequestsTickets && heartbeat.From != d.cfg.Self
 		d.recordHeartbeat(heartbeat)
 	}
 	s := d.currentSession()
@@ -250,23 +258,24 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastHeartbeats[heartbeat.From] = d.cfg.Clock.Now()
+	d.lastHeartbeats[heartbeat.From] = receivedHeartbeat{heartbeat, d.cfg.Clock.Now()}
 }
 
 // heartbeatTTL is how long after its last heartbeat an instance counts as live.
 const heartbeatTTL = 3 * clock.Second
 
-// liveTicketRequesters returns the live instances that can request tickets.
-func (d *Driver) liveTicketRequesters() []unit.Instance {
+// liveTicketRequesters returns the last heartbeats of the live instances that can request
+// tickets.
+func (d *Driver) liveTicketRequesters() []planner.Heartbeat {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []unit.Instance
-	for id, at := range d.lastHeartbeats {
-		if d.cfg.Clock.Now()-at > heartbeatTTL {
+	var list []planner.Heartbeat
+	for id, last := range d.lastHeartbeats {
+		if d.cfg.Clock.Now()-last.at > heartbeatTTL {
 			delete(d.lastHeartbeats, id)
 			continue
 		}
-		list = append(list, id)
+		list = append(list, last.Heartbeat)
 	}
 	return list
 }
--- a/driver/effect.go
+++ b/driver/effect.go
@@ -38,8 +38,6 @@
 			s.poll(e.Target.ID, false)
 			s.handleEvent(func(p *planner.Planner) { p.PollNowDone(e.Target) })
 		})
-	case planner.RequestTickets:
-		s.orders.Go(func() { s.requestTickets(e) })
 	}
 }
 
--- a/driver/session.go
+++ b/driver/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,8 +82,8 @@
 		planner: planner.New(c, state),
 		polled:  map[unit.Upstream]bool{},
 	}
-	for _, id := range d.liveTicketRequesters() {
-		s.planner.HandleHeartbeat(c.LeaderSince, planner.Heartbeat{From: id, RequestsTickets: true})
+	for _, heartbeat := range d.liveTicketRequesters() {
+		s.planner.HandleHeartbeat(c.LeaderSince, heartbeat)
 	}
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.log.WithFields(logrus.Fields{
@@ -122,6 +123,14 @@
 // hold s.mu.
 func (s *session) collectOutput() {
 	commands, effects := s.planner.TakeOutput()
+	effects = slices.DeleteFunc(effects, func(e planner.Effect) bool {
+		request, ok := e.(planner.RequestTickets)
+		if ok {
+			// A ticket request changes nothing, so it needn't wait for a commit.
+			s.orders.Go(func() { s.requestTickets(request) })
+		}
+		return ok
+	})
 	if len(commands) == 0 && len(effects) == 0 {
 		return
 	}
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -43,7 +43,7 @@
 	var gangs []*step
 	for _, s := range p.waiting {
 		s.mayBook = false
-		if s.spec.Gang && s.rank.tier == inTime && !s.rank.overShare && !s.closed {
+		if s.spec.Gang && s.rank.tier == inTime && !s.rank.overShare && !s.rank.surplus && !s.closed {
 			gangs = append(gangs, s)
 		}
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -97,8 +97,16 @@
 		return Reply{Code: Invalid, Message: why}
 	}
 	if !p.backlog.admits(account, &r.Submission) {
-		return Reply{Code: Overloaded, Message: "the account has too much waiting work", RetryAfter: retryOverloaded}
+		return Reply{Code: Overloaded, Message: "the account has too much waiting work", RetryAfter: spreadRetry(r.ID, retryOverloaded)}
 	}
+	client, _ := p.state.Config.AccountByName(account)
+	if why := p.feasible(client, route.Queue.Service, &r.Submission); why != "" {
+		return Reply{Code: Overloaded, Message: why, RetryAfter: spreadRetry(r.ID, retryInfeasible)}
+	}
+	if p.refusesSurplus(client, route.Queue, &r.Submission) {
+		return Reply{Code: Overloaded, Message: "the account exceeds its weight, and the job can't end in time", RetryAfter: spreadRetry(r.ID, retrySurplus)}
+	}
+	p.entitlements.add(client, r.ID, p.now)
 	p.backlog.add(account, &r.Submission)
 	p.record(keeper.AcceptJob{ID: r.ID, Account: account, Queue: route.Queue, Submission: r.Submission, At: p.now})
 	p.openJob(p.state.Jobs[r.ID])
--- a/planner/load_queues_test.go
+++ b/planner/load_queues_test.go
@@ -23,6 +23,12 @@
 	spread, chained float64
 	// worth is what a mean job earns in time. A late one earns a fifth of it.
 	worth float64
+	// failShare is the part of the runs that fail by themselves; poison is the part of the
+	// jobs of which every run fails.
+	failShare, poison float64
+	// checkpointShare is the part of the jobs with checkpoints, if checkpoint is set; 0 means
+	// all.
+	checkpointShare float64
 }
 
 // ticketQueue returns a queue whose steps require tickets.
@@ -95,3 +101,25 @@
 		},
 	}
 }
+
+// competingQueues are the users' three kinds of jobs at 350 upstreams of 32 cores, where
+// callers compete for capacity and for the advice service.
+func competingQueues() []loadQueue {
+	return []loadQueue{
+		{
+			Queue:     ticketQueue(2500, "build", 1, 2.2, 1000, 442, 6.37),
+			perSecond: 5.98, steps: 1, meanTasks: 20, meanMilliCPU: 9000, meanMegabytes: 13000,
+			meanMillis: 4000, gang: true, checkpoint: true, eligible: 0.35, spread: 0.5, chained: 0.2, worth: 7.29, failShare: 0.05, poison: 0.03, checkpointShare: 0.5,
+		},
+		{
+			Queue:     ticketQueue(2500, "reshuffle", 2, 4, 3000, 104, 1.43),
+			perSecond: 12.3, steps: 1, meanTasks: 25, meanMilliCPU: 3500, meanMegabytes: 3600,
+			meanMillis: 2200, checkpoint: true, eligible: 0.45, spread: 0.5, chained: 0.5, worth: 2.21, failShare: 0.02, poison: 0.03, checkpointShare: 0.8,
+		},
+		{
+			Queue:     ticketQueue(2500, "hold", 0, 1.5, 250, 14.3, 0.208),
+			perSecond: 88.5, steps: 1, meanTasks: 3.2, meanMilliCPU: 5000, meanMegabytes: 7100,
+			meanMillis: 1000, eligible: 0.7, spread: 0.9, worth: 0.431, failShare: 0.005, poison: 0.01,
+		},
+	}
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -38,6 +38,9 @@
 	// MaxListedEnds is the most ends that an upstream lists in one answer to a poll. It lists
 	// the rest once these are acknowledged. 0 means that it always lists all.
 	MaxListedEnds int
+	// EntitlementSlack is how many jobs an account may submit at once beyond its weight in
+	// jobs per second. 0 means that weights are only shares of a full domain.
+	EntitlementSlack float64
 	// Retention is how long the state keeps a job after its end.
 	Retention clock.Millis
 }
@@ -74,6 +77,9 @@
 	// nextOccurrence is the next occurrence to queue of each repeated job.
 	nextOccurrence   map[keeper.JobID]int
 	ticketRequesters map[unit.Instance]*ticketRequester
+	// adviceScarce is set while no instance but those in reserve could send another ticket
+	// request at once.
+	adviceScarce bool
 	// forecasts predict the running times of the tasks of each queue.
 	forecasts map[unit.Queue]*forecast
 	urgent    urgentNeed
@@ -81,8 +87,9 @@
 	meanGangSize float64
 	// backlog is the estimated size of the jobs that haven't ended: it is summed up anew at
 	// each forgetAt, and accepted jobs are added in between.
-	backlog backlog
-	shares  shares
+	backlog      backlog
+	shares       shares
+	entitlements entitlements
 
 	// freed are the upstreams on which capacity was freed since the last pass; quotaFreed
 	// are the accounts of which a run has ended since then.
@@ -117,6 +124,7 @@
 		quotaFreed:       map[unit.ClientAccount]bool{},
 		reservedQuota:    map[unit.ClientAccount]unit.Resources{},
 		orphans:          map[unit.Upstream]map[keeper.RunKey]bool{},
+		entitlements:     newEntitlements(c.EntitlementSlack),
 		dirty:            true,
 	}
 	for _, id := range slices.Sorted(maps.Keys(state.Upstreams)) {
@@ -129,6 +137,7 @@
 		}
 	}
 	p.repeatStops()
+	p.restoreEntitlements()
 	for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
 		if j := state.Jobs[id]; !j.Phase.IsFinal() {
 			p.backlog.add(j.Account, &j.Submission)
--- a/planner/predict.go
+++ b/planner/predict.go
@@ -59,6 +59,15 @@
 	return f
 }
 
+// predictStep returns the predicted running time of a task of a step; 0 for a step that runs
+// until its job is cancelled.
+func (p *Planner) predictStep(s *step) clock.Millis {
+	if s.spec.LongRunning {
+		return 0
+	}
+	return p.forecastOf(s.job).predict(s.spec.Estimate)
+}
+
 // objectiveRequestSize is the number of upstreams per ticket request that the platform
 // assumes when it determines a job's objective.
 const objectiveRequestSize = 30
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -94,10 +94,9 @@
 }
 
 // claimCapacity claims capacity for n tasks of a step by preempting tasks of less urgent
-// queues that can resume from a checkpoint. Nothing is preempted for a step that can't end
-// in time or whose account is over its share. It reports whether the step has a claim.
+// queues that can resume from a checkpoint. It reports whether the step has a claim.
 func (p *Planner) claimCapacity(s *step, n int) bool {
-	if s.rank.tier != inTime || s.rank.overShare {
+	if !p.mayPreempt(s) {
 		return false
 	}
 	if s.claim != nil && p.now >= s.claim.until {
@@ -118,6 +117,12 @@
 	return true
 }
 
+// mayPreempt reports whether runs may be stopped for a step: not for one that can't end in
+// time, nor for what its account has beyond its share or its entitlement.
+func (p *Planner) mayPreempt(s *step) bool {
+	return s.rank.tier == inTime && !s.rank.overShare && !s.rank.surplus
+}
+
 func multiply(r unit.Resources, n int) unit.Resources {
 	v := r.Vector()
 	for i := range v {
--- a/planner/share.go
+++ b/planner/share.go
@@ -46,6 +46,8 @@
 	// overShare holds the accounts that have more running than their share times
 	// shareSlackFactor.
 	overShare map[unit.ClientAccount]bool
+	// drainTime is how long all capacity would take for the waiting tasks.
+	drainTime clock.Millis
 }
 
 // isOverShare reports whether a step waits behind those of others because its account is
@@ -75,12 +77,18 @@
 		index[a.Name] = i
 		uses = append(uses, use)
 	}
+	drainTime := 0.
 	for _, s := range p.waiting {
-		if i, ok := index[s.job.Account]; ok && !s.closed {
-			uses[i].wanted += dominantShare(multiply(p.state.NeedOf(s.spec), p.pendingTasks(s)), capacity)
+		if s.closed {
+			continue
+		}
+		wanted := dominantShare(multiply(p.state.NeedOf(s.spec), p.pendingTasks(s)), capacity)
+		drainTime += wanted * float64(p.predictStep(s))
+		if i, ok := index[s.job.Account]; ok {
+			uses[i].wanted += wanted
 		}
 	}
-	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses)}
+	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses), drainTime: clock.Millis(drainTime)}
 }
 
 // totalCapacity returns the capacity of all schedulable upstreams.
--- a/planner/status.go
+++ b/planner/status.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for _, requester := range p.ticketRequesters {
-		if requester.busy {
+		if requester.requests > 0 {
 			s.BusyTicketRequesters++
 		}
 	}
--- a/planner/step.go
+++ b/planner/step.go
@@ -46,6 +46,8 @@
 // rank orders the waiting steps.
 type rank struct {
 	tier tier
+	// surplus is set if the job exceeds its account's entitlement.
+	surplus bool
 	// overShare is the result of isOverShare.
 	overShare bool
 	priority  int
@@ -53,10 +55,22 @@
 	id        keeper.StepID
 }
 
+// class is the part of the order that precedes all others: the surplus of any account comes
+// after the entitled jobs of all, except for those that earn nothing any more.
+func (a rank) class() int {
+	switch {
+	case a.tier == worthless:
+		return int(2 * worthless)
+	case a.surplus:
+		return int(worthless + a.tier)
+	}
+	return int(a.tier)
+}
+
 func (a rank) compare(b rank) int {
 	switch {
-	case a.tier != b.tier:
-		return int(a.tier - b.tier)
+	case a.class() != b.class():
+		return a.class() - b.class()
 	case a.overShare != b.overShare:
 		if b.overShare {
 			return -1
@@ -174,6 +188,7 @@
 		}
 		s.rankedAt = p.now
 		s.rank.overShare = p.isOverShare(s)
+		s.rank.surplus = p.isSurplus(s)
 		if s.spec.LongRunning {
 			// A long-running task is worth something while it runs, so it is never late.
 			s.rank.tier, s.rank.deadline = inTime, s.queuedAt+s.job.Queue.TargetLatency
@@ -288,4 +303,5 @@
 	}
 	delete(p.stepsByJob, id)
 	delete(p.nextOccurrence, id)
+	p.entitlements.remove(id)
 }
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -22,9 +22,6 @@
 	longTicketRequest = 150 * clock.Millisecond
 	// sparedRequesters is the number of instances that long requests leave free.
 	sparedRequesters = 2
-	// requesterSilence is how long after its last heartbeat an instance still gets
-	// requests.
-	requesterSilence = 2 * clock.Second
 	// gangTasksPerRequest is the number of a gang's tasks for which one more concurrent
 	// request is sent: of the upstreams in a request about a third may run the gang, and
 	// most of those have no free capacity.
@@ -90,16 +87,6 @@
 	return 0
 }
 
-// ticketRequester is an instance that can call the advice service, with one request at a
-// time.
-type ticketRequester struct {
-	id          unit.Instance
-	heartbeatAt clock.Millis
-	busy        bool
-	// failedAt is when a request by the instance last failed.
-	failedAt clock.Millis
-}
-
 // HandleHeartbeat handles an instance's heartbeat. It records no command, so the caller may
 // send the reply at once.
 func (p *Planner) HandleHeartbeat(now clock.Millis, heartbeat Heartbeat) Reply {
@@ -111,7 +98,7 @@
 			p.ticketRequesters[heartbeat.From] = requester
 			p.dirty = true
 		}
-		requester.heartbeatAt = p.now
+		requester.heartbeatAt, requester.reserve = p.now, heartbeat.RelaysOrders
 	}
 	return Reply{HTTPLimits: p.state.Config.HTTPLimits}
 }
@@ -225,18 +212,13 @@
 	}
 }
 
-// sendTicketRequests sends the ticket requests of the waiting steps to free instances, in
-// the order of the steps.
+// sendTicketRequests sends the ticket requests of the waiting steps to available instances,
+// in the order of the steps.
 func (p *Planner) sendTicketRequests() {
-	var free []*ticketRequester
-	for _, requester := range p.ticketRequesters {
-		if !requester.busy && p.now-requester.heartbeatAt < requesterSilence && p.now-requester.failedAt >= ticketRetry {
-			free = append(free, requester)
-		}
-	}
-	slices.SortFunc(free, func(a, b *ticketRequester) int { return cmp.Compare(a.id, b.id) })
+	available := p.availableRequesters()
+	p.adviceScarce = !slices.ContainsFunc(available, (*ticketRequester).isIdle)
 	for _, s := range p.waiting {
-		if len(free) == 0 {
+		if len(available) == 0 {
 			return
 		}
 		if !s.job.Queue.RequiresTicket {
@@ -246,13 +228,16 @@
 		if s.job.Queue.AdviceBaseMillis >= float64(longTicketRequest) {
 			keep = sparedRequesters
 		}
-		for len(free) > keep {
+		for len(available) > keep {
+			if !available[0].isIdle() && (s.rank.overShare || s.rank.surplus) {
+				break
+			}
 			ids := p.nextTicketRequest(s)
 			if len(ids) == 0 {
 				break
 			}
-			p.requestTickets(s, ids, free[0])
-			free = free[1:]
+			p.requestTickets(s, ids, available[0])
+			available = available[1:]
 		}
 	}
 }
@@ -273,6 +258,10 @@
 	if p.now < t.exhaustedUntil {
 		return nil
 	}
+	if p.adviceScarce && p.expectsEnough(s) {
+		t.exhaustedUntil = p.now + blockedRetry
+		return nil
+	}
 	ids := p.unrequested(s)
 	if len(ids) == 0 {
 		t.exhaustedUntil = p.now + blockedRetry
@@ -294,14 +283,13 @@
 
 // requestTickets has an instance request tickets from the service.
 func (p *Planner) requestTickets(s *step, ids []unit.Upstream, requester *ticketRequester) {
-	cost := clock.Millis(s.job.Queue.AdviceBaseMillis + s.job.Queue.AdvicePerUpstreamMillis*float64(len(ids)))
-	requester.busy = true
+	requester.add(p.now, clock.Millis(s.job.Queue.AdviceBaseMillis+s.job.Queue.AdvicePerUpstreamMillis*float64(len(ids))))
 	s.tickets.requests++
 	for _, id := range ids {
 		s.tickets.requested[id] = true
 	}
 	s.tickets.renewals = nil
-	p.addEffect(RequestTickets{Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: cost + ticketTimeoutSlack})
+	p.addEffect(RequestTickets{Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: requester.doneAt - p.now + ticketTimeoutSlack})
 }
 
 // HandleTickets handles the result of a ticket request. tickets holds the tickets that were
@@ -310,7 +298,7 @@
 	p.now = max(p.now, now)
 	p.dirty = true
 	if requester := p.ticketRequesters[request.Requester]; requester != nil {
-		requester.busy = false
+		requester.requests--
 		if err != nil {
 			requester.failedAt = p.now
 		}
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -138,7 +138,7 @@
 	return forwarder.New(forwarder.Config{
 		Self: mesh.Self(), Seeds: s.Seeds, Mesh: mesh, Clock: clk, Logger: l,
 		Heartbeat: planner.Heartbeat{
-			RequestsTickets: s.AdviceAddress != "" && s.DataFolder == "",
+			RequestsTickets: s.AdviceAddress != "",
 			RelaysOrders:    s.DataFolder != "", Zone: s.AvailabilityZone,
 		},
 		BootTime: clock.BootTime,
@@ -180,7 +180,7 @@
 	mesh.Handle(relayer.MethodOrder, relay.Serve)
 	d := driver.New(driver.Config{
 		Self: mesh.Self(), Log: node, State: state, Upstreams: relay, OnHeartbeat: relay.HandleHeartbeat, Mesh: mesh, Clock: clk, BootTime: clock.BootTime, Logger: l, Metrics: m,
-		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention},
+		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention, EntitlementSlack: s.EntitlementSlack},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
 		node.Step(from, body)
