decoder: findings have a severity

Cause: a check of a file can only report mistakes; a suspicious entry that an instance accepts has no form. Change: Finding has a Severity, error by default. A line of a warning has the prefix "warning: "; lines of errors are unchanged. Findings keeps 500 of each severity, so that warnings displace no error.

--- a/decoder/decoder.go
+++ b/decoder/decoder.go
@@ -31,8 +31,8 @@
 	MaxFileBytes = 1 << 20
 	// MaxDepth bounds the nesting depth of values.
 	MaxDepth = 16
-	// MaxFindings bounds the findings of a file. Findings.List adds one that
-	// gives the number of further ones.
+	// MaxFindings bounds the findings of a file, for each severity. Findings.List
+	// adds one that gives the number of further ones.
 	MaxFindings = 500
 )
 
@@ -40,7 +40,7 @@
 // the file, in findings only. After a syntax error the root is absent: reading
 // it returns zero values and records no further findings.
 func Read(file string, text []byte) (Value, *Findings) {
-	findings := &Findings{file: file}
+	findings := NewFindings(file)
 	if len(text) > MaxFileBytes {
 		findings.add(1, 1, "", fmt.Sprintf("the file has %d bytes; at most %d are allowed", len(text), MaxFileBytes))
 		return Value{findings: findings}, findings
--- a/decoder/decoder_test.go
+++ b/decoder/decoder_test.go
@@ -83,6 +83,22 @@
 	is.Equal(findings[MaxFindings].Message, "and 7 more findings")
 }
 
+// TestWarningsDisplaceNoError guards against a file with many warnings that passes as one
+// without errors, since the error is beyond the bound of findings.
+func TestWarningsDisplaceNoError(t *testing.T) {
+	is := is.New(t)
+	findings := NewFindings("f")
+	for range MaxFindings + 7 {
+		findings.Add(Warning, 1, 1, "A", "odd")
+	}
+	findings.Add(Error, 1, 2, "A", "wrong")
+	list := findings.List()
+	is.Equal(len(list), MaxFindings+2)
+	is.True(HasErrors(list))
+	is.Equal(list[MaxFindings].String(), "f:1:2: A: wrong")
+	is.Equal(list[MaxFindings+1].String(), "f:1:2: .: warning: and 7 more warnings")
+}
+
 func TestQuantitiesAreConvertedToBaseUnits(t *testing.T) {
 	cases := map[string]struct {
 		text string
--- a/decoder/value.go
+++ b/decoder/value.go
@@ -43,6 +43,14 @@
 	v.findings.add(v.node.Line, v.node.Column, v.path, fmt.Sprintf(format, args...))
 }
 
+// Warn records a warning about the value.
+func (v Value) Warn(format string, args ...any) {
+	if v.node == nil {
+		return
+	}
+	v.findings.Add(Warning, v.node.Line, v.node.Column, v.path, fmt.Sprintf(format, args...))
+}
+
 // RejectName records a finding about a name that isn't among the known ones. It
 // adds the nearest known name, if any, to the message.
 func (v Value) RejectName(name string, known iter.Seq[string], format string, args ...any) {
@@ -51,7 +59,7 @@
 	}
 	message := fmt.Sprintf(format, args...)
 	// The search is expensive, so skip it for findings that are dropped.
-	if !v.findings.isFull() {
+	if !v.findings.IsFull(Error) {
 		if nearest := Nearest(name, known); nearest != "" {
 			message += "; did you mean " + nearest + "?"
 		}
