--- a/parser/parser.go
+++ b/parser/parser.go
@@ -24,14 +24,19 @@
 // findings.
 func Parse(file string, text []byte) (Config, []decoder.Finding) {
 	r, findings := read(file, text)
-	r.checkDemands()
-	r.checkDependencies()
+	r.check()
 	if list := findings.List(); len(list) > 0 {
 		return Config{}, list
 	}
 	return r.config, nil
 }
 
+// check makes the checks that need the whole text.
+func (r *reader) check() {
+	r.checkDemands()
+	r.checkDependencies()
+}
+
 // read reads the text. It leaves out the checks that need the whole text.
 func read(file string, text []byte) (*reader, *decoder.Findings) {
 	root, findings := decoder.Read(file, text)
