commander: check reads the platform's configurations and lists differences

Cause: the command check reads the operator's text and settings only, and doesn't say what would change. Change: the format is told by the content or by -platform. -against FILE and -in-force list the differences from the version in force. Warnings leave the exit status at 0. Without these flags nothing is sent, as before.

--- a/cmd/chervilvane/main.go
+++ b/cmd/chervilvane/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/chervilvane/chervilvane/commander"
+	"github.com/chervilvane/chervilvane/platform"
 )
 
 func main() {
@@ -20,6 +21,13 @@
 		Getenv:  os.Getenv,
 		Version: version(),
 		Certs:   addCertsFlags,
+		Platform: &commander.Format{
+			MaxBytes:   platform.MaxConfigBytes,
+			Recognizes: platform.IsConfig,
+			Check:      platform.CheckConfig,
+			Compare:    platform.CompareConfigs,
+			Fetch:      platform.FetchConfig,
+		},
 	})
 	status := c.Run(ctx, os.Args[1:])
 	stop()
--- a/commander/apply.go
+++ b/commander/apply.go
@@ -56,7 +56,7 @@
 }
 
 func (c *Commander) apply(ctx context.Context, o *output, t *target, a applyFlags, file string) error {
-	text, err := c.readFile(file)
+	text, err := c.readFile(file, textFormat.MaxBytes)
 	if err != nil {
 		return err
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -29,7 +29,8 @@
 	// StatusNotDone means that the command was refused or failed, or that its
 	// result is pending or unknown.
 	StatusNotDone Status = 1
-	// StatusUsage means that the command line or a checked file has errors.
+	// StatusUsage means that the command line or a checked file has errors;
+	// warnings about a file don't count.
 	// Nothing was sent, unless the errors were found by an instance.
 	StatusUsage Status = 2
 	// StatusUnreachable means that no instance answered. Nothing was changed.
@@ -48,6 +49,9 @@
 	// Certs adds the flags of the command certs and returns the function that
 	// the command runs. If nil, there is no such command.
 	Certs func(flags *flag.FlagSet) func(ctx context.Context, args []string) error
+	// Platform is the format of the platform's configurations. If nil, the command
+	// check doesn't read them.
+	Platform *Format
 	// Backoff is the wait between rounds of resends and the interval of polls;
 	// 0 means the default.
 	Backoff clock.Millis
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -101,6 +101,58 @@
 	is.True(strings.Contains(out, "Listen: the field is missing"))
 }
 
+// TestCheckAgainstVersionInForce guards against differences that hide the findings or change the
+// exit status, and against a check that sends requests without being asked to: the address is
+// set in the environment. The format of the platform is a stub.
+func TestCheckAgainstVersionInForce(t *testing.T) {
+	const (
+		teamText = goodText + "Teams: [{Name: x, Share: 1}]\n"
+		unused   = "warning: no queue, service, batch or job names the team x\n"
+		platform = "{platform"
+		wrong    = ": AvailabilityZones[0].Nmae: unknown field"
+	)
+	cases := map[string]struct {
+		text, against, args string
+		status              Status
+		out, note           string
+		requests            int
+	}{
+		"offline":                  {goodText, "", "", StatusDone, "no findings\n", "", 0},
+		"a warning":                {teamText, "", "", StatusDone, unused, "", 0},
+		"a warning as JSON":        {teamText, "", "-o json", StatusDone, `"Severity":"warning"}]}`, "", 0},
+		"an error as JSON":         {badText, goodText, "-o json", StatusUsage, `"Severity":"error"}]}`, "", 0},
+		"a file":                   {goodText, teamText, "", StatusDone, "no findings\nTeams[x]: removed\n", "", 0},
+		"a file as JSON":           {goodText, teamText, "-o json", StatusDone, `{"Findings":[],"Differences":[{"Path":"Teams[x]","Change":"Removed"}]}`, "", 0},
+		"the same":                 {goodText, goodText, "", StatusDone, "no findings\nno differences\n", "", 0},
+		"an instance":              {teamText, "", "-in-force", StatusDone, unused + "Teams[x].Limit.CPU: was 2, is no limit\n", "", 1},
+		"errors hide differences":  {badText, goodText, "", StatusUsage, wrong, "", 0},
+		"unreachable":              {teamText, "", "-address 127.0.0.1:1", StatusUnreachable, unused, "no instance answered", 0},
+		"unreachable, with errors": {badText, "", "-address 127.0.0.1:1", StatusUsage, wrong, "no instance answered", 0},
+		"an unreadable file":       {goodText, "Teams: 3", "", StatusUsage, "no findings", "text.yaml: the text can't be read", 0},
+		"both":                     {goodText, goodText, "-in-force", StatusUsage, "", "-against excludes -in-force", 0},
+		"settings":                 {"Instance: a1", "", "-settings -in-force", StatusUsage, "", "settings have no version in force", 0},
+		"platform by the content":  {platform, "", "-in-force", StatusDone, "the platform's, against in force\nno differences", "", 0},
+		"platform by the flag":     {"x", "", "-platform", StatusDone, "the platform's, against \n", "", 0},
+		"not the platform's":       {platform, "", "-platform=false", StatusUsage, "not valid YAML", "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i := newStubInstance(t, map[string]answer{"GET /v1/config": {200, `{"Version":6,"Text":"AvailabilityZones: [{Name: a}]\nTeams: [{Name: x, Share: 1, Limit: {CPU: 2}}]"}`}})
+			args := append([]string{"check", writeFile(t, c.text)}, strings.Fields(c.args)...)
+			if c.against != "" {
+				args = append(args, "-against", writeFile(t, c.against))
+			}
+			status, out, notes := run(t, i.URL, args...)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(out, c.out))
+			is.True(out == "" || c.out != "")
+			is.True(strings.Contains(notes, c.note))
+			is.Equal(len(i.requests()), c.requests)
+		})
+	}
+}
+
 func TestApply(t *testing.T) {
 	const (
 		outdated    = `{"Instances":[{"Instance":"a1","Version":7,"Reachable":true},{"Instance":"b1","Version":6,"Reachable":true}]}`
--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -196,7 +196,7 @@
 }
 
 func checkCommand(t *testing.T, file string, args []string) {
-	c := New(Config{Err: io.Discard, Certs: func(f *flag.FlagSet) func(context.Context, []string) error {
+	c := New(Config{Err: io.Discard, Platform: &Format{}, Certs: func(f *flag.FlagSet) func(context.Context, []string) error {
 		f.String("dir", "", "")
 		f.String("instances", "", "")
 		return func(context.Context, []string) error { return nil }
--- a/commander/request_test.go
+++ b/commander/request_test.go
@@ -13,6 +13,10 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/decoder"
+	"github.com/chervilvane/chervilvane/differ"
+	"github.com/chervilvane/chervilvane/fetcher"
 )
 
 // stubInstance is a stub of an instance's HTTP interface. It records the requests
@@ -101,6 +105,15 @@
 		Getenv:  func(name string) string { return env[name] },
 		Version: "v0",
 		Backoff: 1,
+		Platform: &Format{
+			MaxBytes:   99,
+			Recognizes: func(text []byte) bool { return text[0] == '{' },
+			Check: func(file string, _, inForce []byte) []decoder.Finding {
+				return []decoder.Finding{{File: file, Severity: decoder.Warning, Message: "the platform's, against " + string(inForce)}}
+			},
+			Compare: func(_, _ []byte) ([]differ.Difference, error) { return []differ.Difference{}, nil },
+			Fetch:   func(context.Context, *fetcher.Fetcher) ([]byte, error) { return []byte("in force"), nil },
+		},
 	})
 	status = c.Run(context.Background(), args)
 	return status, stdout.String(), stderr.String()
