--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -32,6 +32,8 @@
 		s.saveCheckpoint(c)
 	case AckEnds:
 		s.ackEnds(c.Upstream, c.Incarnation, c.EndSeq)
+	case SetEvacuation:
+		s.setEvacuation(c)
 	}
 }
 
--- a/keeper/command.go
+++ b/keeper/command.go
@@ -133,7 +133,7 @@
 
 var commands = encoder.NewSet(
 	SetConfig{}, SetUpstream{}, RemoveUpstream{}, AcceptJob{}, EndJob{}, ForgetJob{},
-	StartRun{}, EndRun{}, SaveCheckpoint{}, AckEnds{},
+	StartRun{}, EndRun{}, SaveCheckpoint{}, AckEnds{}, SetEvacuation{},
 )
 
 // EncodeBatch encodes commands as one log entry.
--- a/keeper/doc.go
+++ b/keeper/doc.go
@@ -1,5 +1,5 @@
 // Package keeper is the replicated state of a scheduling domain that spans all
-// availability zones: the operator's configuration, the upstreams, the jobs
+// availability zones: the operator's configuration, the evacuated zones, the upstreams, the jobs
 // with their steps, and the runs of their tasks.
 //
 // A State is a replicator.StateMachine. Its commands record decisions and
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -35,7 +35,7 @@
 	small := func(label string) int { return rapid.IntRange(0, 2).Draw(t, label) }
 	task := keeper.TaskID{Job: job(small("job")), Step: small("step"), Index: small("index")}
 	number, incarnation := 1+small("number"), keeper.Incarnation(small("incarnation"))
-	switch rapid.IntRange(0, 8).Draw(t, "kind") {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
 		return keeper.SetConfig{Config: keeper.Config{Version: int64(small("version")), Document: []byte("{}")}}
 	case 1:
@@ -53,6 +53,8 @@
 			Task: task, Number: number, Upstream: upstream(small("upstream")), Incarnation: incarnation,
 			Outcome: keeper.RunOutcome(rapid.IntRange(0, 6).Draw(t, "outcome")), EndSeq: int64(small("end sequence")),
 		}
+	case 7:
+		return keeper.SetEvacuation{Zone: unit.AvailabilityZone(upstream(small("zone"))), Evacuated: rapid.Bool().Draw(t, "evacuated")}
 	default:
 		return keeper.StartRun{Task: task, Number: number, Upstream: upstream(small("upstream")), Incarnation: incarnation}
 	}
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chervilvane/chervilvane/clock"
-	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/replicator"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -24,6 +23,8 @@
 	// EndedIncarnations is the latest incarnation of each removed upstream that is known
 	// to have ended, so that a late report doesn't add it again.
 	EndedIncarnations map[unit.Upstream]Incarnation
+	// EvacuatedZones are the availability zones in which no task may start.
+	EvacuatedZones map[unit.AvailabilityZone]bool
 	// Used is the sum of the needs of each account's live runs.
 	Used map[unit.ClientAccount]unit.Resources
 
@@ -39,6 +40,7 @@
 		Upstreams:         map[unit.Upstream]*UpstreamState{},
 		Jobs:              map[JobID]*Job{},
 		EndedIncarnations: map[unit.Upstream]Incarnation{},
+		EvacuatedZones:    map[unit.AvailabilityZone]bool{},
 		Used:              map[unit.ClientAccount]unit.Resources{},
 	}
 }
@@ -85,7 +87,7 @@
 		out.Jobs = append(out.Jobs, j)
 	}
 	slices.SortFunc(out.Jobs, func(a, b *Job) int { return compare(a.ID, b.ID) })
-	return encoder.Marshal(out)
+	return encodeSnapshot(out, s.SortedEvacuations())
 }
 
 // Clone returns a copy of the state, which no log is applied to. Unlike a snapshot, it
@@ -125,8 +127,8 @@
 
 // Restore implements replicator.StateMachine.
 func (s *State) Restore(data []byte) error {
-	var in snapshot
-	if err := encoder.Unmarshal(data, &in); err != nil {
+	in, zones, err := decodeSnapshot(data)
+	if err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -137,6 +139,10 @@
 	if s.EndedIncarnations == nil {
 		s.EndedIncarnations = map[unit.Upstream]Incarnation{}
 	}
+	s.EvacuatedZones = map[unit.AvailabilityZone]bool{}
+	for _, zone := range zones {
+		s.EvacuatedZones[zone] = true
+	}
 	for _, u := range in.Upstreams {
 		s.Upstreams[u.ID] = &UpstreamState{Upstream: u, Runs: map[RunKey]Allocation{}}
 	}
