planner: evacuation of availability zones

Cause: an operator has a zone evacuated; no task may start there from the commit on, and runs that would occupy it for long should go on elsewhere. Change: the request Evacuate, at the end of the set. canRun and the lists of upstreams leave out evacuated zones, so starts, bookings, claims and ticket requests do. evacuate.go moves runs: long-running ones within MaxUnavailable, and those with a checkpoint and more than twice the bound to go, at most 8 at a time, into capacity that is free elsewhere and reserved until they have started again. A new leader moves nothing for 3 s, since a stop of its predecessor may still take effect. The property test draws evacuations, checkpoints and long-running steps, and every second case has rare faults, without which no run moves; 300 cases instead of 150 keep the number of those with many faults. Its fakes list the progress of runs: without it, longer runs count as stalled.

--- a/planner/fake_upstream_test.go
+++ b/planner/fake_upstream_test.go
@@ -18,6 +18,7 @@
 type fakeUpstream struct {
 	sim         *simulation
 	id          unit.Upstream
+	zone        unit.AvailabilityZone
 	incarnation keeper.Incarnation
 	up          bool
 	partitioned bool
@@ -34,14 +35,19 @@
 	lastEndSeq  int64
 	ackedEndSeq int64
 	capacity    unit.Resources
+	// stopDelay is how long a stop takes; the run is listed meanwhile.
+	stopDelay clock.Millis
 }
 
 // fakeRun is a run on a fake upstream.
 type fakeRun struct {
-	need      unit.Resources
-	remaining clock.Millis
+	need unit.Resources
+	// duration is what the run takes in all, unless a test prolongs it.
+	duration, remaining clock.Millis
 	// fails is set if the run ends as failed.
 	fails bool
+	// stopAt is when a stop takes effect; 0 if there is none.
+	stopAt clock.Millis
 }
 
 func (u *fakeUpstream) clock() clock.Millis {
@@ -50,8 +56,8 @@
 
 func (u *fakeUpstream) describe() keeper.Upstream {
 	return keeper.Upstream{
-		ID: u.id, Incarnation: u.incarnation, Address: string(u.id) + ":1", Service: "s", Zone: "z",
-		Rack: "r", Labels: []string{"a", "r"}, Capacity: u.capacity, Draining: u.draining,
+		ID: u.id, Incarnation: u.incarnation, Address: string(u.id) + ":1", Service: "s", Zone: u.zone,
+		Rack: "r", Labels: []string{"a", string(u.zone), "r"}, Capacity: u.capacity, Draining: u.draining,
 	}
 }
 
@@ -93,7 +99,7 @@
 	u.sim.checkStart(u, s)
 	u.highestRun[s.Run.Task] = s.Run.Number
 	need, duration, fails := u.sim.drawRun(s.Run)
-	u.runs[s.Run] = &fakeRun{need: need, remaining: duration, fails: fails}
+	u.runs[s.Run] = &fakeRun{need: need, duration: duration, remaining: duration, fails: fails}
 	if !u.used().Fits(u.capacity) {
 		u.sim.failf("%s uses more than its capacity: %+v of %+v", u.id, u.used(), u.capacity)
 	}
@@ -111,7 +117,9 @@
 	}
 	u.token = token
 	u.highestRun[s.Run.Task] = max(u.highestRun[s.Run.Task], s.Run.Number)
-	if u.runs[s.Run] != nil {
+	if r := u.runs[s.Run]; r != nil && u.stopDelay > 0 {
+		r.stopAt = u.sim.now + u.stopDelay
+	} else if r != nil {
 		u.end(s.Run, keeper.RunStopped)
 	}
 	return planner.Executed{}
@@ -126,8 +134,8 @@
 		}
 	}
 	result := planner.PollResult{Incarnation: u.incarnation, Clock: u.clock()}
-	for key := range u.runs {
-		result.Running = append(result.Running, planner.RunStatus{Run: key})
+	for key, r := range u.runs {
+		result.Running = append(result.Running, planner.RunStatus{Run: key, Percent: int(max(100*(r.duration-r.remaining)/r.duration, 0))})
 	}
 	for _, e := range u.ends {
 		if e.Seq > u.ackedEndSeq && (u.sim.maxListedEnds == 0 || len(result.Ended) < u.sim.maxListedEnds) {
@@ -160,6 +168,10 @@
 	}
 	for _, key := range sortedKeys(u.runs) {
 		r := u.runs[key]
+		if r.stopAt > 0 && u.sim.now >= r.stopAt {
+			u.end(key, keeper.RunStopped)
+			continue
+		}
 		if r.remaining -= span; r.remaining > 0 {
 			continue
 		}
--- a/planner/fuzz_test.go
+++ b/planner/fuzz_test.go
@@ -15,6 +15,8 @@
 	f.Add(planner.EncodeRequest(planner.ReportUpstream{Upstream: keeper.Upstream{ID: "a", Incarnation: 1, Service: service, Capacity: unit.Resources{CPU: 1}}, Clock: 1, Seq: 1}))
 	f.Add(planner.EncodeRequest(planner.PutConfig{Config: config(1)}))
 	f.Add(planner.EncodeRequest(planner.Heartbeat{From: "e", RequestsTickets: true}))
+	f.Add(planner.EncodeRequest(planner.Evacuate{Zone: "z"}))
+	f.Add(planner.EncodeRequest(planner.Evacuate{Zone: "z", Withdraw: true}))
 	f.Add([]byte{0xda, 0, 1, 0x11, 0x70, 0xff})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		r, err := planner.DecodeRequest(data)
--- a/planner/job.go
+++ b/planner/job.go
@@ -33,6 +33,8 @@
 		p.HandleReport(now, Report{Upstream: r.Upstream, Clock: r.Clock, Seq: r.Seq, DrainRemaining: r.DrainRemaining}, func() { reply(Reply{}) })
 	case DeregisterUpstream:
 		p.HandleDeregistration(now, r.ID, func() { reply(Reply{}) })
+	case Evacuate:
+		respond(p.evacuate(r))
 	default:
 		respond(Reply{Code: Invalid, Message: fmt.Sprintf("a request of type %T", r)})
 	}
--- a/planner/main_test.go
+++ b/planner/main_test.go
@@ -14,7 +14,7 @@
 	fresh := flag.Bool("fresh", false, "draw new seeds")
 	flag.Parse()
 	if !*fresh {
-		for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.nofailfile": "true"} {
+		for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
 			}
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -22,6 +22,7 @@
 	}
 	p.booked = p.booked[:0]
 	clear(p.reservedQuota)
+	p.bookMigrations()
 	p.rankWaiting()
 	p.grantBookings()
 	kept := p.waiting[:0]
@@ -30,6 +31,7 @@
 			s.queued = false
 			continue
 		}
+		p.releaseMigrations(s)
 		switch {
 		case p.now < s.retryAt:
 			p.rebook(s)
@@ -39,6 +41,7 @@
 		default:
 			p.placeFreed(s)
 		}
+		p.rebookMigrations(s)
 		p.reserveQuota(s)
 		if !s.blocked && p.pendingTasks(s) == 0 {
 			s.queued = false
@@ -53,6 +56,7 @@
 	}
 	p.freed = p.freed[:0]
 	clear(p.quotaFreed)
+	p.migrateRuns()
 	p.sendTicketRequests()
 }
 
@@ -159,7 +163,7 @@
 // canRun reports whether an upstream offers the service and can run tasks of the step if it
 // has free capacity.
 func (p *Planner) canRun(s *step, u *upstream, service string) bool {
-	return u.isSchedulable() && u.Service == service && u.HasLabel(s.spec.Requires) && !u.health.isQuarantined(p.now) &&
+	return p.takesTasks(u) && u.Service == service && u.HasLabel(s.spec.Requires) && !u.health.isQuarantined(p.now) &&
 		p.state.NeedOf(s.spec).Fits(u.Capacity) && !(s.spec.BestEffortCPU && p.hasLatencySensitiveRun(u))
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -14,7 +14,8 @@
 //
 // The rules that decide are in plan.go (one planning pass), step.go and predict.go (the
 // order of the waiting steps), share.go (fair shares), candidate.go and gang.go (the choice
-// of upstreams), preempt.go (capacity for urgent steps) and tickets.go (admission tickets).
+// of upstreams), preempt.go (capacity for urgent steps), evacuate.go (moves out of evacuated
+// zones) and tickets.go (admission tickets).
 package planner
 
 import (
@@ -40,6 +41,9 @@
 	MaxListedEnds int
 	// Retention is how long the state keeps a job after its end.
 	Retention clock.Millis
+	// EvacuateBound is the time within which an evacuation takes effect, by the platform's
+	// rules. Only runs that last well beyond it are moved out of an evacuated zone.
+	EvacuateBound clock.Millis
 }
 
 // Planner is the leader's view of a scheduling domain. It isn't safe for concurrent use.
@@ -83,6 +87,8 @@
 	// each forgetAt, and accepted jobs are added in between.
 	backlog backlog
 	shares  shares
+	// evacuation holds the moves out of evacuated zones.
+	evacuation evacuation
 
 	// freed are the upstreams on which capacity was freed since the last pass; quotaFreed
 	// are the accounts of which a run has ended since then.
--- a/planner/property_test.go
+++ b/planner/property_test.go
@@ -16,16 +16,22 @@
 
 // TestPropertyInvariantsUnderFaults runs a domain under random faults: lost and late
 // orders, upstreams that crash, restart or are partitioned, and leaders that fail with what
-// they hadn't committed. The fake upstreams check each start. Once the faults are over, all
-// jobs must end.
+// they hadn't committed, while zones are evacuated and evacuations withdrawn. The fake
+// upstreams check each start, and no start is committed in an evacuated zone. Once the faults
+// are over, all jobs must end.
 func TestPropertyInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		pick := rng.IntN
 		sim := newSimulation(t, pick, 4)
-		sim.maxListedEnds = 2
+		sim.maxListedEnds, sim.evacuateBound = 2, 20
+		sim.rareFaults = pick(2) == 0
 		sim.takeOver()
-		for range 150 {
+		events := 150
+		if sim.rareFaults {
+			events = 600
+		}
+		for range events {
 			sim.doRandomEvent()
 			sim.step(clock.Millis(5 + pick(120)))
 		}
@@ -36,7 +42,11 @@
 // doRandomEvent makes one random event happen, or none.
 func (sim *simulation) doRandomEvent() {
 	u := sim.upstreams[sim.pick(len(sim.upstreams))]
-	switch sim.pick(14) {
+	kind := sim.pick(14)
+	if sim.rareFaults && (kind < 4 && sim.pick(6) > 0 || kind >= 5 && kind <= 9 && kind != 7 && sim.pick(20) > 0) {
+		return
+	}
+	switch kind {
 	case 0, 1, 2, 3:
 		sim.submit()
 	case 4:
@@ -51,6 +61,8 @@
 		}
 	case 8:
 		u.draining = !u.draining
+	case 10:
+		sim.evacuate(u.zone, sim.pick(2) == 0)
 	case 9:
 		// The leader fails, and what it hadn't committed is lost.
 		sim.planner = nil
@@ -63,7 +75,7 @@
 	submission := keeper.Submission{Spec: "x"}
 	for i := range 1 + sim.pick(2) {
 		s := keeper.Step{
-			Count: 1 + sim.pick(4), Gang: sim.pick(3) == 0, Estimate: 500,
+			Count: 1 + sim.pick(4), Gang: sim.pick(3) == 0, Estimate: 500, Checkpointing: sim.pick(2) == 0,
 			Need: unit.Resources{CPU: unit.MilliCPU(500 + 500*sim.pick(3)), Memory: 100 * unit.Megabyte},
 		}
 		if i > 0 {
@@ -71,6 +83,9 @@
 		}
 		submission.Steps = append(submission.Steps, s)
 	}
+	if len(submission.Steps) == 1 && sim.pick(5) == 0 {
+		submission.Steps[0].LongRunning, submission.Steps[0].MaxUnavailable = true, sim.pick(3)
+	}
 	if sim.planner == nil || sim.now < sim.leaderlessUntil {
 		return
 	}
@@ -90,7 +105,10 @@
 	if len(sim.jobs) == 0 || sim.planner == nil || sim.now < sim.leaderlessUntil {
 		return
 	}
-	id := sim.jobs[sim.pick(len(sim.jobs))]
+	sim.cancelJob(sim.jobs[sim.pick(len(sim.jobs))])
+}
+
+func (sim *simulation) cancelJob(id keeper.JobID) {
 	sim.planner.HandleRequest(sim.now, planner.Cancel{Address: address(id), ID: id}, func(r planner.Reply) {
 		if r.Phase == keeper.Cancelled {
 			sim.cancelled[id] = true
@@ -109,6 +127,16 @@
 			u.restart()
 		}
 	}
+	sim.step(2000)
+	for _, zone := range simulatedZones {
+		sim.evacuate(zone, true)
+	}
+	for _, id := range sim.jobs {
+		// A long-running job ends only by its cancellation.
+		if j := sim.log.Jobs[id]; j != nil && !j.Phase.IsFinal() && j.Submission.Steps[0].LongRunning {
+			sim.cancelJob(id)
+		}
+	}
 	for range 1200 {
 		sim.step(50)
 	}
--- a/planner/request.go
+++ b/planner/request.go
@@ -102,6 +102,7 @@
 
 var requests = encoder.NewSet(
 	Submit{}, GetJob{}, Cancel{}, CountQueued{}, PutConfig{}, GetConfig{}, ReportUpstream{}, DeregisterUpstream{}, Heartbeat{},
+	Evacuate{},
 )
 
 // EncodeRequest encodes a request for the mesh.
--- a/planner/share.go
+++ b/planner/share.go
@@ -83,11 +83,11 @@
 	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses)}
 }
 
-// totalCapacity returns the capacity of all schedulable upstreams.
+// totalCapacity returns the capacity of all upstreams that may get new tasks.
 func (p *Planner) totalCapacity() unit.Resources {
 	var sum unit.Resources
 	for _, u := range p.byID {
-		if u.isSchedulable() {
+		if p.takesTasks(u) {
 			sum = sum.Add(u.Capacity)
 		}
 	}
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -27,6 +27,9 @@
 	term    uint64
 	// maxListedEnds is the most ends that an upstream lists at once; 0 is unlimited.
 	maxListedEnds int
+	// rareFaults is set if leaders and upstreams fail rarely, and runs take longer. Only a
+	// leader that has led for some time moves runs out of an evacuated zone.
+	rareFaults bool
 	// leaderlessUntil is the time until which there is no leader.
 	leaderlessUntil clock.Millis
 
@@ -41,6 +44,17 @@
 	started    map[keeper.RunKey]bool
 	// recordedLost are the runs whose outcome was committed as lost.
 	recordedLost map[keeper.RunKey]bool
+	// evacuateBound is the planner's Config.EvacuateBound.
+	evacuateBound clock.Millis
+	// evacuated are the zones of which an evacuation was acknowledged and no withdrawal was
+	// sent since then.
+	evacuated map[unit.AvailabilityZone]bool
+	// grantsTickets is set if an instance requests tickets and all upstreams are granted.
+	// ticketRequests have no answer yet.
+	grantsTickets  bool
+	ticketRequests []planner.RequestTickets
+	// migrations are the moves that were announced.
+	migrations []planner.Migration
 	// events are the logged events, for the message of a failure.
 	events []string
 }
@@ -68,6 +82,9 @@
 
 const service = "s"
 
+// simulatedZones are the zones of the upstreams, in turn.
+var simulatedZones = []unit.AvailabilityZone{"z0", "z1"}
+
 func newSimulation(t interface {
 	Fatalf(format string, args ...any)
 }, pick func(n int) int, upstreams int,
@@ -76,10 +93,11 @@
 		t: t, pick: pick, now: 1_000_000, log: keeper.New(),
 		cancelled: map[keeper.JobID]bool{}, done: map[keeper.TaskID]bool{},
 		nextPollAt: map[unit.Upstream]clock.Millis{}, started: map[keeper.RunKey]bool{}, recordedLost: map[keeper.RunKey]bool{},
+		evacuated: map[unit.AvailabilityZone]bool{},
 	}
 	for i := range upstreams {
 		u := &fakeUpstream{
-			sim: sim, id: unit.Upstream('a' + rune(i)), slowPercent: clock.Millis(pick(3)),
+			sim: sim, id: unit.Upstream('a' + rune(i)), zone: simulatedZones[i%len(simulatedZones)], slowPercent: clock.Millis(pick(3)),
 			capacity: unit.Resources{CPU: 4000, Memory: 4 * unit.Gigabyte},
 		}
 		u.restart()
@@ -116,7 +134,8 @@
 	if err != nil {
 		sim.failf("restoring the committed state: %v", err)
 	}
-	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour}, state)
+	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour, EvacuateBound: sim.evacuateBound}, state)
+	sim.checkEvacuations()
 }
 
 // commit commits the planner's commands and executes its effects.
@@ -124,6 +143,9 @@
 	commands, effects := sim.planner.TakeOutput()
 	for _, c := range commands {
 		sim.log.ApplyCommand(c)
+		if s, ok := c.(keeper.StartRun); ok && sim.log.EvacuatedZones[sim.upstream(s.Upstream).zone] {
+			sim.failf("%s starts on %s, in an evacuated zone", s.Task, s.Upstream)
+		}
 		if e, ok := c.(keeper.EndRun); ok && e.Outcome == keeper.RunLost {
 			sim.recordedLost[keeper.RunKey{Task: e.Task, Number: e.Number}] = true
 		}
@@ -138,6 +160,11 @@
 		case planner.PollNow:
 			sim.nextPollAt[e.Target.ID] = sim.now
 			sim.planner.PollNowDone(e.Target)
+		case planner.RequestTickets:
+			sim.ticketRequests = append(sim.ticketRequests, e)
+		case planner.Migration:
+			sim.checkMigration(e)
+			sim.migrations = append(sim.migrations, e)
 		}
 	}
 }
@@ -177,10 +204,26 @@
 	}
 	sim.sendReports()
 	sim.pollUpstreams()
+	sim.answerTicketRequests()
 	sim.planner.Tick(sim.now)
 	sim.commit()
 }
 
+func (sim *simulation) answerTicketRequests() {
+	if !sim.grantsTickets {
+		return
+	}
+	sim.planner.HandleHeartbeat(sim.now, planner.Heartbeat{From: "e1", RequestsTickets: true})
+	for _, q := range sim.ticketRequests {
+		tickets := map[unit.Upstream]string{}
+		for _, id := range q.Upstreams {
+			tickets[id] = "ticket"
+		}
+		sim.planner.HandleTickets(sim.now, q, tickets, 0, nil)
+	}
+	sim.ticketRequests = nil
+}
+
 func (sim *simulation) deliver() {
 	due := sim.messages
 	sim.messages = nil
@@ -327,7 +370,11 @@
 	if j != nil && len(j.Submission.Steps) > run.Task.Step {
 		need = j.Submission.Steps[run.Task.Step].Need
 	}
-	return need, clock.Millis(50 + sim.pick(1500)), sim.pick(12) == 0
+	longest := 1500
+	if sim.rareFaults {
+		longest = 6000
+	}
+	return need, clock.Millis(50 + sim.pick(longest)), sim.pick(12) == 0
 }
 
 func sortedKeys(runs map[keeper.RunKey]*fakeRun) []keeper.RunKey {
--- a/planner/status.go
+++ b/planner/status.go
@@ -10,6 +10,7 @@
 
 // Status summarizes the waiting steps and the capacity of a domain.
 type Status struct {
+	// Schedulable counts the upstreams that may get new tasks.
 	Upstreams, Schedulable int
 	// Capacity and Used are the sums over the schedulable upstreams.
 	Capacity, Used unit.Resources
@@ -24,6 +25,9 @@
 	// TicketRequesters counts the instances that can call the advice service,
 	// BusyTicketRequesters those with a request in progress.
 	TicketRequesters, BusyTicketRequesters int
+	// EvacuatedZones are sorted. EvacuatingRuns counts the live runs there.
+	EvacuatedZones []unit.AvailabilityZone
+	EvacuatingRuns int
 }
 
 // QueueStatus summarizes the waiting steps of a queue.
@@ -47,7 +51,7 @@
 func (p *Planner) Status() Status {
 	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Queues: map[unit.Queue]*QueueStatus{}}
 	for _, u := range p.upstreams {
-		if u.isSchedulable() {
+		if p.takesTasks(u) {
 			s.Schedulable++
 			s.Capacity = s.Capacity.Add(u.Capacity)
 			s.Used = s.Used.Add(u.Used)
@@ -62,6 +66,7 @@
 	for _, w := range p.waiting {
 		p.addWaiting(&s, w)
 	}
+	p.addEvacuation(&s)
 	return s
 }
 
--- a/planner/step.go
+++ b/planner/step.go
@@ -134,8 +134,7 @@
 			continue
 		}
 		if p.steps[id] == nil {
-			p.steps[id] = s
-			p.stepsByJob[j.ID] = append(p.stepsByJob[j.ID], s)
+			p.trackStep(s)
 		}
 		s.blocked = false
 		p.enqueue(s)
@@ -149,6 +148,12 @@
 	}
 }
 
+// trackStep begins to track a step of a job that hasn't ended.
+func (p *Planner) trackStep(s *step) {
+	p.steps[s.id] = s
+	p.stepsByJob[s.id.Job] = append(p.stepsByJob[s.id.Job], s)
+}
+
 func (p *Planner) enqueue(s *step) {
 	if s.queued || s.closed {
 		return
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -187,7 +187,7 @@
 		p.byFreeCPU, p.byFreeCPUAt = map[string][]*upstream{}, p.now
 		list := make([]upstreamFreeCPU, 0, len(p.byID))
 		for _, u := range p.byID {
-			if u.isSchedulable() {
+			if p.takesTasks(u) {
 				list = append(list, upstreamFreeCPU{u, u.freeCapacity().CPU})
 			}
 		}
@@ -226,7 +226,7 @@
 }
 
 // sendTicketRequests sends the ticket requests of the waiting steps to free instances, in
-// the order of the steps.
+// the order of the steps, then those of the steps of which a run is to move.
 func (p *Planner) sendTicketRequests() {
 	var free []*ticketRequester
 	for _, requester := range p.ticketRequesters {
@@ -235,7 +235,7 @@
 		}
 	}
 	slices.SortFunc(free, func(a, b *ticketRequester) int { return cmp.Compare(a.id, b.id) })
-	for _, s := range p.waiting {
+	for _, s := range slices.Concat(p.waiting, p.evacuation.wanting) {
 		if len(free) == 0 {
 			return
 		}
