driver, forwarder: evacuations in orders, logs and gauges

Cause: a start that was decided before an evacuation may wait for its commit or for the processor, and would be sent after the acknowledgement. Change: sendStart looks at the evacuations right before it sends. Log lines for each change and each move, the fields EvacuatedZones and EvacuatingRuns of the status line, two gauges, which are 0 on an instance that doesn't lead. A refusal of an evacuation counts like those of other changes: not after an attempt that may have been executed. Result: TestStartIsNotSentToAZoneEvacuatedMeanwhile fails without the look and passes with it.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -161,7 +161,7 @@
 		Host: "h", PathPrefix: "/q/", Queue: keeper.Queue{Name: "q", Service: "s", MaxAttempts: 2},
 	}}, Accounts: []keeper.Account{{Name: "t", Keys: []string{"k"}}}}}).Reply.Code, planner.OK)
 	is.Equal(ask(d, planner.ReportUpstream{Upstream: keeper.Upstream{
-		ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Capacity: unit.Resources{CPU: 1000},
+		ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Zone: "z", Capacity: unit.Resources{CPU: 1000},
 	}, Clock: 1, Seq: 1}).Reply.Code, planner.OK)
 	return d, l, u
 }
@@ -343,3 +343,50 @@
 		is.Equal(len(u.startTokens()), 2000)
 	})
 }
+
+// TestEvacuationIsDurableBeforeTheReply guards against an acknowledged evacuation that isn't
+// in the log, or that a later session doesn't know.
+func TestEvacuationIsDurableBeforeTheReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := newLeader(t)
+		l.set(func(l *fakeLog) { l.fail = &replicator.UnknownResultError{Cause: errors.New("lost")} })
+		is.Equal(ask(d, planner.Evacuate{Zone: "z"}).Reply.Code, planner.Unknown)
+		l.set(func(l *fakeLog) { l.fail, l.term = nil, 8 })
+		time.Sleep(100 * time.Millisecond)
+		for range 2 {
+			is.Equal(ask(d, planner.Evacuate{Zone: "z"}).Reply.Code, planner.OK)
+			committed, err := l.state.Clone()
+			is.NoErr(err)
+			is.True(committed.EvacuatedZones["z"])
+		}
+		l.set(func(l *fakeLog) { l.term = 9 })
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(ask(d, submit()).Reply.Code, planner.OK)
+		time.Sleep(time.Second)
+		is.Equal(len(u.startTokens()), 0)
+		is.Equal(ask(d, planner.Evacuate{Zone: "z", Withdraw: true}).Reply.Code, planner.OK)
+		time.Sleep(time.Second)
+		is.Equal(u.startTokens(), []uint64{9 << 10})
+	})
+}
+
+// TestStartIsNotSentToAZoneEvacuatedMeanwhile guards against an order that goes out after an
+// evacuation was acknowledged, since the start was decided before and committed with it.
+func TestStartIsNotSentToAZoneEvacuatedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, l, u := newLeader(t)
+		l.set(func(l *fakeLog) { l.delay = 500 * time.Millisecond })
+		var group sync.WaitGroup
+		group.Go(func() { _ = ask(d, submit()) })
+		time.Sleep(250 * time.Millisecond) // the start is decided and waits for the commit of the job
+		is.Equal(ask(d, planner.Evacuate{Zone: "z"}).Reply.Code, planner.OK)
+		group.Wait()
+		time.Sleep(3 * time.Second)
+		is.Equal(len(u.startTokens()), 0)
+		is.Equal(ask(d, planner.Evacuate{Zone: "z", Withdraw: true}).Reply.Code, planner.OK)
+		time.Sleep(3 * time.Second)
+		is.Equal(len(u.startTokens()), 1)
+	})
+}
--- a/driver/effect.go
+++ b/driver/effect.go
@@ -40,6 +40,8 @@
 		})
 	case planner.RequestTickets:
 		s.orders.Go(func() { s.requestTickets(e) })
+	case planner.Migration:
+		s.logMigration(e)
 	}
 }
 
@@ -48,7 +50,8 @@
 var errLeaseExpired = errors.New("the lease of the log's leader has expired")
 
 // sendStart sends a start. It doesn't send one that was decided more than MaxStartDelay
-// ago: a later leader relies on that for the runs that it inherits.
+// ago: a later leader relies on that for the runs that it inherits. Nor does it send one to
+// a zone whose evacuation was decided after the start.
 func (s *session) sendStart(e planner.Start, decidedAt clock.Millis) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
 	defer cancel()
@@ -58,7 +61,7 @@
 	// The lease is checked right before sending, since the steps before may have
 	// been delayed.
 	switch {
-	case s.d.cfg.BootTime()-decidedAt > planner.MaxStartDelay:
+	case s.d.cfg.BootTime()-decidedAt > planner.MaxStartDelay || s.isEvacuated(e.Target.Zone):
 		result = planner.Refused{Reason: planner.RefusedExpired}
 	case s.d.holdsLease(s.term):
 		result, upstreamClock = s.d.cfg.Upstreams.Start(ctx, s.token, e)
--- a/driver/session.go
+++ b/driver/session.go
@@ -87,7 +87,7 @@
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.log.WithFields(logrus.Fields{
 		"Jobs": len(state.Jobs), "Upstreams": len(state.Upstreams), "ConfigVersion": state.Config.Version,
-		"Stopping": s.planner.Status().Stopping,
+		"Stopping": s.planner.Status().Stopping, fieldEvacuatedZones: state.SortedEvacuations(),
 	}).Info("leader session started")
 	return s, nil
 }
@@ -103,9 +103,16 @@
 	s.stop()
 	_ = s.group.Wait()
 	s.orders.Wait()
+	s.d.metrics.updateEvacuation(planner.Status{})
 	s.log.WithField("Reason", reason).Info("leader session ended")
 }
 
+func (s *session) isEvacuated(zone unit.AvailabilityZone) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.planner.IsEvacuated(zone)
+}
+
 func (s *session) now() clock.Millis { return s.d.cfg.Clock.Now() }
 
 // handleEvent applies an event to the planner, collects the planner's output and
@@ -205,6 +212,7 @@
 		s.mu.Lock()
 		st := s.planner.Status()
 		s.mu.Unlock()
+		s.d.metrics.updateEvacuation(st)
 		s.logStatus(st)
 	})
 	return nil
--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -16,6 +16,7 @@
 	request, commit, start, advice   tally.Histogram
 	polls, jobsAccepted, runsStarted tally.Counter
 	runsEnded                        map[keeper.RunOutcome]tally.Counter
+	evacuatedZones, evacuatingRuns   tally.Gauge
 }
 
 // buckets range from one millisecond, the time of a local answer, to a few seconds.
@@ -35,6 +36,9 @@
 		jobsAccepted: s.Counter("jobs_accepted"),
 		runsStarted:  s.Counter("runs_started"),
 		runsEnded:    map[keeper.RunOutcome]tally.Counter{},
+
+		evacuatedZones: s.Gauge("evacuated_zones"),
+		evacuatingRuns: s.Gauge("evacuating_runs"),
 	}
 	for outcome, name := range outcomeNames {
 		m.runsEnded[outcome] = s.Tagged(map[string]string{"how": name}).Counter("runs_ended")
@@ -42,6 +46,13 @@
 	return m
 }
 
+// updateEvacuation sets the gauges of the evacuated zones and the runs left there. They are 0
+// on an instance that doesn't lead.
+func (m *metrics) updateEvacuation(st planner.Status) {
+	m.evacuatedZones.Update(float64(len(st.EvacuatedZones)))
+	m.evacuatingRuns.Update(float64(st.EvacuatingRuns))
+}
+
 // outcomeNames are the values of the tag how and of the log field How.
 var outcomeNames = map[keeper.RunOutcome]string{
 	keeper.RunLost: "Lost", keeper.RunDone: "Done", keeper.RunFailed: "Failed", keeper.RunStopped: "Stopped",
@@ -58,6 +69,8 @@
 const (
 	fieldRun         = "Run"
 	fieldIncarnation = "Life"
+	// fieldEvacuatedZones are all zones that are evacuated.
+	fieldEvacuatedZones = "EvacuatedZones"
 )
 
 // logCommands logs committed commands and counts them in the metrics.
@@ -89,6 +102,8 @@
 			}).Info("upstream added or updated")
 		case keeper.RemoveUpstream:
 			s.log.WithFields(logrus.Fields{logger.FieldUpstream: c.ID, fieldIncarnation: c.Incarnation}).Info("upstream removed")
+		case keeper.SetEvacuation:
+			s.log.WithFields(logrus.Fields{"Zone": c.Zone, "Evacuated": c.Evacuated}).Info("evacuation of a zone changed")
 		}
 	}
 }
@@ -98,7 +113,7 @@
 	s.log.WithFields(logrus.Fields{
 		"Upstreams": st.Upstreams, "Usable": st.Schedulable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
 		"Runs": st.Runs, "Stopping": st.Stopping, "BacklogBytes": int64(st.BacklogBytes), "Advisers": st.TicketRequesters, "BusyAdvisers": st.BusyTicketRequesters,
-		"OverShare": st.OverShareAccounts,
+		"OverShare": st.OverShareAccounts, fieldEvacuatedZones: st.EvacuatedZones, "EvacuatingRuns": st.EvacuatingRuns,
 	}).Info("domain status")
 	for name, q := range st.Queues {
 		s.log.WithFields(logrus.Fields{
@@ -123,6 +138,8 @@
 		fields[logger.FieldRequest], fields["Path"] = r.ID, r.Address.Path
 	case planner.CountQueued:
 		fields["Path"] = r.Address.Path
+	case planner.Evacuate:
+		fields["Zone"], fields["Withdraw"] = r.Zone, r.Withdraw
 	}
 	s.log.WithFields(fields).Info("request refused")
 }
@@ -141,6 +158,13 @@
 	}
 }
 
+// logMigration logs that a run leaves an evacuated zone.
+func (s *session) logMigration(e planner.Migration) {
+	s.log.WithFields(logrus.Fields{
+		logger.FieldTask: e.Run.Task.String(), fieldRun: e.Run.Number, logger.FieldUpstream: e.From, "ReservedOn": e.To, "LeftMillis": int64(e.Remaining),
+	}).Info("stopping a run in an evacuated zone to start it elsewhere")
+}
+
 func (s *session) logTickets(e planner.RequestTickets, response TicketResponse, err error) {
 	l := s.log.WithFields(logrus.Fields{
 		"Step": e.Step.String(), "Via": e.Requester, "Asked": len(e.Upstreams), "Good": len(response.Tickets), "Life": response.TicketTTL,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -185,7 +185,7 @@
 // state was not executed.
 func isRefusal(r planner.Request, code planner.Code) bool {
 	switch r.(type) {
-	case planner.Submit, planner.Cancel, planner.PutConfig, planner.ReportUpstream, planner.DeregisterUpstream:
+	case planner.Submit, planner.Cancel, planner.PutConfig, planner.ReportUpstream, planner.DeregisterUpstream, planner.Evacuate:
 	default:
 		return false
 	}
