platform: calls that evacuate an availability zone

Cause: operators send POST and DELETE /v1/evacuations/ZONE to control instances. Change: the two calls, with 400 for malformed names and for zones that the settings don't list; the settings Zones and Bounds.EvacuateMs. The list of zones takes effect when the settings file changes, as the seeds do: a 400 ends an operator's call at once.

--- a/runner/domain.go
+++ b/runner/domain.go
@@ -180,7 +180,7 @@
 	mesh.Handle(relayer.MethodOrder, relay.Serve)
 	d := driver.New(driver.Config{
 		Self: mesh.Self(), Log: node, State: state, Upstreams: relay, OnHeartbeat: relay.HandleHeartbeat, Mesh: mesh, Clock: clk, BootTime: clock.BootTime, Logger: l, Metrics: m,
-		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention},
+		Planner: planner.Config{MaxLease: s.MaxLease, MaxListedEnds: platform.MaxListedEnds, Retention: s.Retention, EvacuateBound: s.EvacuateBound},
 	})
 	mesh.Handle(methodLog, func(_ context.Context, from unit.Instance, body []byte) ([]byte, error) {
 		node.Step(from, body)
@@ -224,6 +224,8 @@
 // domainServers are the HTTP servers of an instance.
 type domainServers struct {
 	servers []*httpServer
+	// control is nil on an instance that doesn't serve operators.
+	control *platform.ControlAPI
 	// closing is set on shutdown: the instance is unready and closes the
 	// connection after each response.
 	closing atomic.Bool
@@ -244,7 +246,8 @@
 	}
 	if s.ControlAddress != "" {
 		routes := mux.NewRouter()
-		platform.NewControlAPI(f, s.ControlAddress, s.AvailabilityZone).Register(routes)
+		d.control = platform.NewControlAPI(f, s.ControlAddress, s.AvailabilityZone, s.Zones)
+		d.control.Register(routes)
 		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
 		d.add(s.ControlAddress, d.withConnectionClose(routes))
 	}
@@ -357,7 +360,8 @@
 const settingsPollInterval = 1 * clock.Second
 
 // watchSettings reloads the settings after a SIGHUP or a change of their file,
-// until the context ends. Only the seeds can change while the process runs.
+// until the context ends. Only the seeds and the list of zones can change while the
+// process runs.
 func (d domain) watchSettings(ctx context.Context) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -383,7 +387,10 @@
 			continue
 		}
 		d.Forwarder.SetSeeds(s.Seeds)
-		d.Logger.WithFields(logrus.Fields{"Contacts": s.Seeds, "Cause": cause}).Info("settings reloaded")
+		if d.Servers.control != nil {
+			d.Servers.control.SetZones(s.Zones)
+		}
+		d.Logger.WithFields(logrus.Fields{"Contacts": s.Seeds, "Zones": s.Zones, "Cause": cause}).Info("settings reloaded")
 	}
 }
 
