--- a/driver/effect.go
+++ b/driver/effect.go
@@ -38,6 +38,8 @@
 			s.poll(e.Target.ID, false)
 			s.handleEvent(func(p *planner.Planner) { p.PollNowDone(e.Target) })
 		})
+	case planner.Migration:
+		s.logMigration(e)
 	}
 }
 
@@ -46,7 +48,8 @@
 var errLeaseExpired = errors.New("the lease of the log's leader has expired")
 
 // sendStart sends a start. It doesn't send one that was decided more than MaxStartDelay
-// ago: a later leader relies on that for the runs that it inherits.
+// ago: a later leader relies on that for the runs that it inherits. Nor does it send one to
+// a zone whose evacuation was decided after the start.
 func (s *session) sendStart(e planner.Start, decidedAt clock.Millis) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout.Duration())
 	defer cancel()
@@ -56,7 +59,7 @@
 	// The lease is checked right before sending, since the steps before may have
 	// been delayed.
 	switch {
-	case s.d.cfg.BootTime()-decidedAt > planner.MaxStartDelay:
+	case s.d.cfg.BootTime()-decidedAt > planner.MaxStartDelay || s.isEvacuated(e.Target.Zone):
 		result = planner.Refused{Reason: planner.RefusedExpired}
 	case s.d.holdsLease(s.term):
 		result, upstreamClock = s.d.cfg.Upstreams.Start(ctx, s.token, e)
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -174,7 +174,7 @@
 		p.byFreeCPU, p.byFreeCPUAt = map[string][]*upstream{}, p.now
 		list := make([]upstreamFreeCPU, 0, len(p.byID))
 		for _, u := range p.byID {
-			if u.isSchedulable() {
+			if p.takesTasks(u) {
 				list = append(list, upstreamFreeCPU{u, u.freeCapacity().CPU})
 			}
 		}
@@ -213,11 +213,11 @@
 }
 
 // sendTicketRequests sends the ticket requests of the waiting steps to available instances,
-// in the order of the steps.
+// in the order of the steps, then those of the steps of which a run is to move.
 func (p *Planner) sendTicketRequests() {
 	available := p.availableRequesters()
 	p.adviceScarce = !slices.ContainsFunc(available, (*ticketRequester).isIdle)
-	for _, s := range p.waiting {
+	for _, s := range slices.Concat(p.waiting, p.evacuation.wanting) {
 		if len(available) == 0 {
 			return
 		}
