--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -16,3 +16,6 @@
 
 // MaxBacklog exports maxBacklog.
 const MaxBacklog = maxBacklog
+
+// SetEntitlementSlack sets Config.EntitlementSlack; 0 disables entitlements.
+func (p *Planner) SetEntitlementSlack(slack float64) { p.entitlements.slack = slack }
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -24,16 +24,17 @@
 	// rate returns the factor on a queue's usual rate of submissions at a time after the
 	// start; nil means bursts.
 	rate func(queue int, at clock.Millis) float64
-	// accounts configures accounts of very uneven sizes, of which the largest submits
+	// unevenAccounts configures accounts of very uneven sizes, of which the largest submits
 	// floodFactor times its usual rate for a while.
 	unevenAccounts bool
+	floodFactor    float64
 }
 
 // The users' deployments without an eighth of their upstreams.
 var replays = map[string]replay{
-	"small": {42, 9, 64 * unit.Gigabyte, smallQueues, nil, false},
-	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false},
-	"large": {960, 147, 64 * unit.Gigabyte, largeQueues, nil, false},
+	"small": {42, 9, 64 * unit.Gigabyte, smallQueues, nil, false, 1},
+	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false, 1},
+	"large": {960, 147, 64 * unit.Gigabyte, largeQueues, nil, false, 1},
 	// A fifth of the upstreams is missing, and there are a quarter more jobs.
 	"overload": {870, 147, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -41,9 +42,9 @@
 			queues[i].perSecond *= 1.25
 		}
 		return queues
-	}, nil, false},
+	}, nil, false, 1},
 	// Callers who compete for an almost full domain, in bursts that exceed it.
-	"competing": {350, 32, 64 * unit.Gigabyte, competingQueues, overlappingBursts, true},
+	"competing": {350, 32, 64 * unit.Gigabyte, competingQueues, overlappingBursts, true, 6.7},
 	// An eighth of the large deployment, for the tests.
 	"eighth": {120, 18, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -51,7 +52,7 @@
 			queues[i].perSecond /= 8
 		}
 		return queues
-	}, nil, false},
+	}, nil, false, 1},
 }
 
 const (
@@ -113,7 +114,7 @@
 	l.rate = func(queue int, now clock.Millis) float64 { return rate(queue, now-began) }
 	if r.unevenAccounts {
 		l.adviceOneWay = slowAdviceOneWay
-		l.useUnevenAccounts(queues, rate)
+		l.useUnevenAccounts(queues, rate, r.floodFactor)
 	}
 	return l
 }
@@ -272,6 +273,40 @@
 // slowAdviceOneWay is the delay of a ticket request by an instance with a link of 2 Mbit/s.
 const slowAdviceOneWay = 14 * clock.Millisecond
 
+// TestReplayFloodBeyondWeightLeavesOthersTheirs guards the jobs that accounts are entitled to
+// against one that submits ten times its usual rate, all of which comes on top of a load that
+// leaves a tenth of the domain free.
+func TestReplayFloodBeyondWeightLeavesOthersTheirs(t *testing.T) {
+	// Half of the load, since the race detector takes ten times as long.
+	const part = 2
+	seeds := [...]uint64{1, 2, 3}
+	var without, with, unprotected [len(seeds)]float64
+	flood := func(seed uint64, factor, slack float64) float64 {
+		r := replays["competing"]
+		r.floodFactor = factor
+		r.upstreams, r.requesters = r.upstreams/part, r.requesters/part
+		r.rate = func(int, clock.Millis) float64 { return 1 }
+		l := r.prepare(seed, func(q *loadQueue) {
+			q.perSecond *= withinSharesFactor / part
+		})
+		l.planner.SetEntitlementSlack(slack)
+		l.runReplay()
+		return l.earnedBy(1)
+	}
+	var g errgroup.Group
+	for i, seed := range seeds {
+		g.Go(func() error {
+			without[i], with[i], unprotected[i] = flood(seed, 1, loadEntitlementSlack), flood(seed, 10, loadEntitlementSlack), flood(seed, 10, 0)
+			return nil
+		})
+	}
+	is.New(t).NoErr(g.Wait())
+	t.Logf("by seed, the others earn %.3f of their worth without the flood, %.3f with it, %.3f with it and without entitlements", without, with, unprotected)
+	if mean(with[:]) < mean(without[:])*(1-maxShareLoss) {
+		t.Errorf("the others earn %.3f of their worth without the flood and %.3f with it", mean(without[:]), mean(with[:]))
+	}
+}
+
 const (
 	// unevenAccounts is the number of accounts of an uneven load. The size of account k,
 	// counted from 1, is in proportion to k to the power of -unevenSkew.
@@ -279,15 +314,14 @@
 	unevenSkew     = 1.2
 	// entitlementFactor is the weight and the quota of an account relative to its usual use.
 	entitlementFactor = 1.9
-	// floodFactor is how many times its usual rate the largest account submits between
-	// floodBegin and floodEnd.
-	floodFactor = 6.7
-	floodBegin  = 7 * clock.Second
-	floodEnd    = 13 * clock.Second
+	// A flood comes between floodBegin and floodEnd.
+	floodBegin = 7 * clock.Second
+	floodEnd   = 13 * clock.Second
 )
 
-// useUnevenAccounts replaces the accounts of a load by uneven ones.
-func (l *load) useUnevenAccounts(queues []loadQueue, rate func(queue int, at clock.Millis) float64) {
+// useUnevenAccounts replaces the accounts of a load by uneven ones, of which the largest
+// submits floodFactor times its usual rate for a while.
+func (l *load) useUnevenAccounts(queues []loadQueue, rate func(queue int, at clock.Millis) float64, floodFactor float64) {
 	began := l.now
 	var perSecond, cpu, total float64
 	for _, q := range queues {
