planner: a start is sent within 1 s of its decision

Change: 1 s instead of 3 s from the decision to the order, so that only runs of the last second before a hand-over wait longer than the order may be late.

--- a/planner/run.go
+++ b/planner/run.go
@@ -55,8 +55,9 @@
 func (r *run) mayStartLate() bool { return r.ackedAt == 0 && !r.inherited }
 
 // MaxStartDelay bounds the time from the decision to start a run until the driver sends the
-// order. It must be longer than a commit takes on an overloaded leader.
-const MaxStartDelay = 3 * clock.Second
+// order. It must be longer than a commit takes on an overloaded leader. A run that is lost
+// before a hand-over waits as much longer as it began closer to the hand-over than this.
+const MaxStartDelay = 1 * clock.Second
 
 // lastSentAt returns the latest time at which the start can have been sent. For an
 // inherited run that is MaxStartDelay after this instance applied the start, which it did
