planner: no look-up of the zone while none is evacuated

Cause: canRun asks for each upstream and waiting step. Change: the length of the set is checked before the look-up.

--- a/planner/evacuate.go
+++ b/planner/evacuate.go
@@ -119,7 +119,10 @@
 }
 
 // IsEvacuated reports whether no task may start in an availability zone.
-func (p *Planner) IsEvacuated(zone unit.AvailabilityZone) bool { return p.state.EvacuatedZones[zone] }
+func (p *Planner) IsEvacuated(zone unit.AvailabilityZone) bool {
+	// The length is checked first since a pass asks for each upstream and waiting step.
+	return len(p.state.EvacuatedZones) > 0 && p.state.EvacuatedZones[zone]
+}
 
 // takesTasks reports whether an upstream may get new tasks: it is schedulable, and its zone
 // isn't evacuated.
