planner: long ticket requests are also sent with one or two instances

Long requests leave two instances free for urgent steps. With one or two instances alive no long request was ever sent, so the gangs of such a domain never started.

The test on the code before:

tickets_test.go: 0 != 1 --- FAIL: TestLongRequestsAreSentWithFewInstances/1 --- FAIL: TestLongRequestsAreSentWithFewInstances/2

--- a/planner/requester.go
+++ b/planner/requester.go
@@ -47,9 +47,12 @@
 // isIdle reports whether the instance is an ordinary one without a request in progress.
 func (r *ticketRequester) isIdle() bool { return r.requests == 0 && !r.reserve }
 
+// isAlive reports whether the instance has sent a heartbeat recently.
+func (r *ticketRequester) isAlive(now clock.Millis) bool { return now-r.heartbeatAt < requesterSilence }
+
 // isAvailable reports whether another request may be sent through the instance.
 func (r *ticketRequester) isAvailable(now clock.Millis) bool {
-	if now-r.heartbeatAt >= requesterSilence || now-r.failedAt < ticketRetry {
+	if !r.isAlive(now) || now-r.failedAt < ticketRetry {
 		return false
 	}
 	return r.requests == 0 || r.requests < maxPipelinedRequests && r.doneAt <= now+pipelineLead
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -20,7 +20,8 @@
 	// longTicketRequest is the base time of a service call from which on a request counts
 	// as long. Long requests leave some instances free, so that urgent steps find one.
 	longTicketRequest = 150 * clock.Millisecond
-	// sparedRequesters is the number of instances that long requests leave free.
+	// sparedRequesters is the most instances that long requests leave free. They leave fewer
+	// than half of the instances free.
 	sparedRequesters = 2
 	// gangTasksPerRequest is the number of a gang's tasks for which one more concurrent
 	// request is sent: of the upstreams in a request about a third may run the gang, and
@@ -216,6 +217,7 @@
 // in the order of the steps, then those of the steps of which a run is to move.
 func (p *Planner) sendTicketRequests() {
 	available := p.availableRequesters()
+	spared := p.sparedRequesters()
 	p.adviceScarce = !slices.ContainsFunc(available, (*ticketRequester).isIdle)
 	for _, s := range slices.Concat(p.waiting, p.evacuation.wanting) {
 		if len(available) == 0 {
@@ -226,7 +228,7 @@
 		}
 		keep := 0
 		if s.job.Queue.AdviceBaseMillis >= float64(longTicketRequest) {
-			keep = sparedRequesters
+			keep = spared
 		}
 		for len(available) > keep {
 			if !available[0].isIdle() && (s.rank.overShare || s.rank.surplus) {
@@ -242,6 +244,19 @@
 	}
 }
 
+// sparedRequesters returns the number of instances that long requests leave free. It is less
+// than half of those that are alive: otherwise no long request would be sent where there are
+// only few.
+func (p *Planner) sparedRequesters() int {
+	alive := 0
+	for _, r := range p.ticketRequesters {
+		if r.isAlive(p.now) {
+			alive++
+		}
+	}
+	return max(0, min(sparedRequesters, (alive-1)/2))
+}
+
 // nextTicketRequest returns the upstreams of the next request for a step: those whose
 // tickets have expired, else those about which the service has not been asked.
 func (p *Planner) nextTicketRequest(s *step) []unit.Upstream {
--- a/planner/tickets_test.go
+++ b/planner/tickets_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -92,3 +93,61 @@
 	}
 	is.Equal(len(takeEffects[planner.Stop](sim)), 6)
 }
+
+// newTicketPlanner returns a planner whose only queue requires tickets, with n upstreams
+// that the advice service has to be asked about and the given number of instances that can
+// ask it. A request takes the service the given time.
+func newTicketPlanner(now clock.Millis, upstreams, requesters int, advice float64) *planner.Planner {
+	c := config(0)
+	q := &c.Queues[0].Queue
+	q.RequiresTicket, q.TicketTTL, q.AdviceBaseMillis, q.Stretch = true, 2500, advice, 40
+	state := keeper.New()
+	state.ApplyCommand(keeper.SetConfig{Config: c})
+	p := planner.New(planner.Config{FencingToken: 1, LeaderSince: now, MaxLease: maxLease, Retention: clock.Hour}, state)
+	for i := range upstreams {
+		p.HandleReport(now, reportOf(i, 1, now), func() {})
+	}
+	for i := range requesters {
+		p.HandleHeartbeat(now, planner.Heartbeat{From: unit.Instance(fmt.Sprint("e", i)), RequestsTickets: true})
+	}
+	return p
+}
+
+// reportOf returns the report of an incarnation of upstream i.
+func reportOf(i int, incarnation keeper.Incarnation, now clock.Millis) planner.Report {
+	return planner.Report{Seq: int64(now), Clock: 1000, Upstream: keeper.Upstream{
+		ID: unit.Upstream(fmt.Sprint("u", i)), Incarnation: incarnation, Address: fmt.Sprintf("u%d:1", i), Service: service,
+		Capacity: unit.Resources{CPU: 4000, Memory: 4 * unit.Gigabyte},
+	}}
+}
+
+// takeTicketRequests returns the ticket requests of a pass.
+func takeTicketRequests(p *planner.Planner, now clock.Millis) []planner.RequestTickets {
+	p.Tick(now)
+	_, effects := p.TakeOutput()
+	var list []planner.RequestTickets
+	for _, e := range effects {
+		if q, ok := e.(planner.RequestTickets); ok {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
+func submitTo(p *planner.Planner, now clock.Millis, step keeper.Step) {
+	p.HandleRequest(now, planner.Submit{Address: address(jobID), ID: jobID, Submission: keeper.Submission{Steps: []keeper.Step{step}}}, func(planner.Reply) {})
+}
+
+// TestLongRequestsAreSentWithFewInstances guards against steps that never start because all
+// instances that can request tickets are spared for short requests.
+func TestLongRequestsAreSentWithFewInstances(t *testing.T) {
+	for requesters := 1; requesters <= 3; requesters++ {
+		t.Run(fmt.Sprint(requesters), func(t *testing.T) {
+			is := is.New(t)
+			now := clock.Millis(1_000_000)
+			p := newTicketPlanner(now, 1, requesters, 442)
+			submitTo(p, now, keeper.Step{Count: 1, Estimate: 500})
+			is.Equal(len(takeTicketRequests(p, now+100)), 1)
+		})
+	}
+}
