planner: late advice about a former incarnation is ignored

A refusal that arrived after a restart of the upstream counted for its new incarnation, about which the step never asked again. For an upstream that had gone, it counted as an upstream asked about, so that the step believed to have asked about all.

--- a/planner/effect.go
+++ b/planner/effect.go
@@ -34,6 +34,8 @@
 // RequestTickets asks the advice service, through the instance Requester, which of the
 // upstreams may run a step.
 type RequestTickets struct {
+	// Number tells the requests of a leader apart.
+	Number    int
 	Requester unit.Instance
 	Step      keeper.StepID
 	Upstreams []unit.Upstream
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -81,6 +81,8 @@
 	// nextOccurrence is the next occurrence to queue of each repeated job.
 	nextOccurrence   map[keeper.JobID]int
 	ticketRequesters map[unit.Instance]*ticketRequester
+	// lastTicketRequest is the number of the last ticket request.
+	lastTicketRequest int
 	// adviceScarce is set while no instance but those in reserve could send another ticket
 	// request at once.
 	adviceScarce bool
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -41,9 +41,9 @@
 	granted map[unit.Upstream]*grant
 	grants  []*grant
 	denied  map[unit.Upstream]bool
-	// requested are the upstreams in requests that are in progress, and requests is the
-	// number of these.
-	requested map[unit.Upstream]bool
+	// requested holds the upstreams in requests that are in progress, each with the number of
+	// its request. requests is the number of these.
+	requested map[unit.Upstream]int
 	requests  int
 	retryAt   clock.Millis
 	// renewals are the upstreams whose tickets have to be renewed.
@@ -104,12 +104,14 @@
 	return Reply{HTTPLimits: p.state.Config.HTTPLimits}
 }
 
-// forgetTickets drops the answers about an upstream's former incarnation.
+// forgetTickets drops the answers about an upstream's former incarnation, also those that
+// have yet to arrive.
 func (p *Planner) forgetTickets(id unit.Upstream) {
 	for _, s := range p.steps {
 		if s.tickets != nil {
 			s.tickets.removeTicket(id)
 			delete(s.tickets.denied, id)
+			delete(s.tickets.requested, id)
 		}
 	}
 }
@@ -157,7 +159,7 @@
 		if len(ids) == maxUpstreamsPerRequest {
 			break
 		}
-		if s.tickets.granted[u.ID] == nil && !s.tickets.denied[u.ID] && !s.tickets.requested[u.ID] && p.canRun(s, u, service) {
+		if s.tickets.granted[u.ID] == nil && !s.tickets.denied[u.ID] && s.tickets.requested[u.ID] == 0 && p.canRun(s, u, service) {
 			ids = append(ids, u.ID)
 		}
 	}
@@ -261,7 +263,7 @@
 // tickets have expired, else those about which the service has not been asked.
 func (p *Planner) nextTicketRequest(s *step) []unit.Upstream {
 	if s.tickets == nil {
-		s.tickets = &stepTickets{granted: map[unit.Upstream]*grant{}, denied: map[unit.Upstream]bool{}, requested: map[unit.Upstream]bool{}}
+		s.tickets = &stepTickets{granted: map[unit.Upstream]*grant{}, denied: map[unit.Upstream]bool{}, requested: map[unit.Upstream]int{}}
 	}
 	t := s.tickets
 	switch {
@@ -300,11 +302,12 @@
 func (p *Planner) requestTickets(s *step, ids []unit.Upstream, requester *ticketRequester) {
 	requester.add(p.now, clock.Millis(s.job.Queue.AdviceBaseMillis+s.job.Queue.AdvicePerUpstreamMillis*float64(len(ids))))
 	s.tickets.requests++
+	p.lastTicketRequest++
 	for _, id := range ids {
-		s.tickets.requested[id] = true
+		s.tickets.requested[id] = p.lastTicketRequest
 	}
 	s.tickets.renewals = nil
-	p.addEffect(RequestTickets{Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: requester.doneAt - p.now + ticketTimeoutSlack})
+	p.addEffect(RequestTickets{Number: p.lastTicketRequest, Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: requester.doneAt - p.now + ticketTimeoutSlack})
 }
 
 // HandleTickets handles the result of a ticket request. tickets holds the tickets that were
@@ -325,8 +328,13 @@
 	s.blocked = false
 	t := s.tickets
 	t.requests--
+	answered := make([]unit.Upstream, 0, len(request.Upstreams))
 	for _, id := range request.Upstreams {
-		delete(t.requested, id)
+		// An upstream that has restarted or gone since then is not in the request any more.
+		if t.requested[id] == request.Number {
+			delete(t.requested, id)
+			answered = append(answered, id)
+		}
 	}
 	if err != nil {
 		t.retryAt = p.now + ticketRetry
@@ -335,7 +343,7 @@
 	if ttl == 0 {
 		ttl = s.job.Queue.TicketTTL
 	}
-	for _, id := range request.Upstreams {
+	for _, id := range answered {
 		ticket, ok := tickets[id]
 		if !ok {
 			t.denied[id] = true
--- a/planner/tickets_test.go
+++ b/planner/tickets_test.go
@@ -151,3 +151,20 @@
 		})
 	}
 }
+
+// TestLateAdviceIsForgottenWithItsIncarnation guards against a step that never asks about an
+// upstream because a refusal for its former incarnation arrived after the restart.
+func TestLateAdviceIsForgottenWithItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(1_000_000)
+	p := newTicketPlanner(now, 1, 1, 40)
+	submitTo(p, now, keeper.Step{Count: 1, Estimate: 500})
+	requests := takeTicketRequests(p, now+50)
+	is.Equal(len(requests), 1)
+	p.HandleReport(now+60, reportOf(0, 2, now+60), func() {})
+	to := planner.Target{ID: "u0", Incarnation: 2}
+	p.HandleTickets(now+70, requests[0], nil, 0, nil)
+	p.HandlePollResult(now+80, now+75, to, planner.PollResult{Incarnation: 2, Clock: 1010})
+	p.HandleHeartbeat(now+500, planner.Heartbeat{From: "e0", RequestsTickets: true})
+	is.Equal(len(takeTicketRequests(p, now+500)), 1)
+}
