planner: the search for runs to move visits the members of a step once

For each run of a long-running step, all members were looked at to find out whether it may be stopped. While others were away, the search visited them as often as the step has runs in the zone.

The test on the code before:

--- FAIL: TestSearchForMovesIsLinear (9.20s) a pass took 9.085957698s with 10000 runs in an evacuated zone

--- a/planner/evacuate.go
+++ b/planner/evacuate.go
@@ -151,18 +151,29 @@
 		}
 	}
 	searched := map[keeper.StepID]bool{}
+	// refused are the long-running steps of which no run may be stopped now. That is the same
+	// for all their runs, and finding it out visits all members of the step.
+	refused := map[keeper.StepID]bool{}
+	moves := p.movesInProgress()
 	for range runs {
-		if len(searched) >= maxMigrationSearches || p.movesInProgress() >= maxMigrations {
+		if len(searched) >= maxMigrationSearches || moves >= maxMigrations {
 			return
 		}
 		// The next search goes on where this one ends, so that steps for which there is no
 		// capacity don't hold up others.
 		r := runs[e.cursor%len(runs)]
 		e.cursor = (e.cursor + 1) % len(runs)
-		if id := r.key.Task.StepID(); !searched[id] && p.shouldMigrate(r) {
-			searched[id] = true
-			p.migrate(p.trackedStep(r), r)
+		id := r.key.Task.StepID()
+		if searched[id] || refused[id] || !p.shouldMigrate(r) {
+			continue
+		}
+		if r.spec.LongRunning && !p.mayInterrupt(r) {
+			refused[id] = true
+			continue
 		}
+		searched[id] = true
+		p.migrate(p.trackedStep(r), r)
+		moves = p.movesInProgress()
 	}
 }
 
@@ -192,8 +203,8 @@
 }
 
 // shouldMigrate reports whether a run in an evacuated zone is to move, if it finds capacity:
-// it occupies the zone for long, and a stop does no more harm than it must. A step with
-// waiting tasks has no run moved, since these need the capacity first.
+// it occupies the zone for long. A step with waiting tasks has no run moved, since these need
+// the capacity first. For a long-running one mayInterrupt has to allow it, too.
 func (p *Planner) shouldMigrate(r *run) bool {
 	if r.spec == nil || r.job.Phase.IsFinal() || !p.isWorking(r) {
 		return false
@@ -202,7 +213,7 @@
 		return false
 	}
 	if r.spec.LongRunning {
-		return p.mayInterrupt(r)
+		return true
 	}
 	return r.spec.Checkpointing && r.key.Number <= maxPreemptions &&
 		p.remainingTime(r) > longRemainingFactor*p.evacuateBound()
--- a/planner/evacuate_test.go
+++ b/planner/evacuate_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -429,3 +430,44 @@
 	is.Equal(sim.log.Jobs[jobID].LiveRunCount, 1)
 	is.Equal(sim.countIn("z1"), 1)
 }
+
+// TestSearchForMovesIsLinear guards against a search for runs to move that looks at all
+// members of a step for each of them: the members may not be stopped, since others are away.
+// An evacuation has to be acknowledged within a second.
+func TestSearchForMovesIsLinear(t *testing.T) {
+	const members = 10_000
+	now := clock.Millis(1_000_000)
+	state := keeper.New()
+	state.ApplyCommand(keeper.SetConfig{Config: config(0)})
+	for i := range 2 {
+		state.ApplyCommand(keeper.SetUpstream{Upstream: keeper.Upstream{
+			ID: unit.Upstream(fmt.Sprint("u", i)), Incarnation: 1, Address: fmt.Sprintf("u%d:1", i), Service: service, Zone: "z0",
+			Capacity: unit.Resources{CPU: 4 * members},
+		}})
+	}
+	state.ApplyCommand(keeper.AcceptJob{ID: jobID, Account: "t", Queue: config(0).Queues[0].Queue, Submission: keeper.Submission{
+		Steps: []keeper.Step{{Count: members, Need: unit.Resources{CPU: 1}, LongRunning: true}},
+	}, At: now})
+	answers := [2]planner.PollResult{{Incarnation: 1, Clock: 1000}, {Incarnation: 1, Clock: 1000}}
+	for x := range members {
+		u := 0
+		if x < 2 {
+			u = 1
+		}
+		key := keeper.RunKey{Task: keeper.StepID{Job: jobID}.TaskID(x), Number: 1}
+		state.ApplyCommand(keeper.StartRun{Task: key.Task, Number: 1, Upstream: unit.Upstream(fmt.Sprint("u", u)), Incarnation: 1, At: now})
+		answers[u].Running = append(answers[u].Running, planner.RunStatus{Run: key})
+	}
+	state.ApplyCommand(keeper.SetEvacuation{Zone: "z0", Evacuated: true})
+	p := planner.New(planner.Config{FencingToken: 1, LeaderSince: now, MaxLease: clock.Minute, Retention: clock.Hour}, state)
+	now += 3500
+	for i, a := range answers {
+		p.HandlePollResult(now, now-10, planner.Target{ID: unit.Upstream(fmt.Sprint("u", i)), Incarnation: 1}, a)
+	}
+	p.HandlePollFailure(now, planner.Target{ID: "u1", Incarnation: 1}, false)
+	started := time.Now()
+	p.Tick(now + 10)
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("a pass took %v with %d runs in an evacuated zone", took, members)
+	}
+}
