planner: the tickets for a lost upstream are dropped once

An upstream whose runs may still start late is kept for up to 13.5 s.

The test on the code before:

--- FAIL: TestManyLostUpstreamsAreSweptInTime a pass takes 54.739799ms

--- a/planner/incarnation_test.go
+++ b/planner/incarnation_test.go
@@ -1,13 +1,16 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/unit"
 )
 
 // TestEndsAreAckedOnlyToTheirIncarnation guards against the loss of a new incarnation's
@@ -192,3 +195,44 @@
 		})
 	}
 }
+
+// TestManyLostUpstreamsAreSweptInTime guards against a sweep that visits all steps for each
+// lost upstream: a zone of a domain of 5,900 upstreams is lost, each with a run that may still
+// start late, while 1,000 steps wait. Sweeps follow each other in 50 ms.
+func TestManyLostUpstreamsAreSweptInTime(t *testing.T) {
+	const lost, waiting = 2000, 1000
+	now := clock.Millis(1_000_000)
+	c := config(0)
+	c.Queues[0].Queue.RequiresTicket = true
+	state := keeper.New()
+	state.ApplyCommand(keeper.SetConfig{Config: c})
+	state.ApplyCommand(keeper.AcceptJob{ID: jobID, Queue: c.Queues[0].Queue, Submission: keeper.Submission{Steps: []keeper.Step{{Count: lost, Estimate: 500}}}, At: now})
+	for i := range lost {
+		state.ApplyCommand(keeper.SetUpstream{Upstream: reportOf(i, 1, now).Upstream})
+		state.ApplyCommand(keeper.StartRun{Task: keeper.StepID{Job: jobID}.TaskID(i), Number: 1, Upstream: reportOf(i, 1, now).Upstream.ID, Incarnation: 1, At: now})
+	}
+	for i := range waiting {
+		state.ApplyCommand(keeper.AcceptJob{ID: keeper.JobID(fmt.Sprintf("%016x", i)), Queue: c.Queues[0].Queue, Submission: keeper.Submission{Steps: []keeper.Step{{Count: 1, Estimate: 500}}}, At: now})
+	}
+	p := planner.New(planner.Config{FencingToken: 1, LeaderSince: now, MaxLease: maxLease, Retention: clock.Hour}, state)
+	// One upstream works, and all steps were refused there.
+	p.HandleReport(now, reportOf(lost, 1, now), func() {})
+	for i := range waiting {
+		p.HandleHeartbeat(now, planner.Heartbeat{From: unit.Instance(fmt.Sprint("e", i)), RequestsTickets: true})
+	}
+	for _, q := range takeTicketRequests(p, now+10) {
+		p.HandleTickets(now+15, q, nil, 0, nil)
+	}
+	for i := range lost {
+		p.HandlePollFailure(now+20, planner.Target{ID: reportOf(i, 1, now).Upstream.ID, Incarnation: 1}, true)
+	}
+	best := clock.Minute.Duration()
+	for i := range 5 {
+		started := time.Now()
+		p.Tick(now + 100 + clock.Millis(60*i))
+		best = min(best, time.Since(started))
+	}
+	if best > 50*time.Millisecond {
+		t.Errorf("a pass takes %v", best)
+	}
+}
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -330,9 +330,12 @@
 // removeUpstream removes an upstream whose incarnation has ended or whose lease has expired.
 // It keeps the upstream while runs of it may still be live.
 func (p *Planner) removeUpstream(u *upstream) {
+	if !u.ended {
+		// This visits all steps, so it isn't repeated for an upstream that is kept.
+		p.forgetTickets(u.ID)
+	}
 	u.ended = true
 	p.expireRuns(u)
-	p.forgetTickets(u.ID)
 	p.dirty = true
 	if len(u.Runs) > 0 {
 		return
