planner: a fast clock of a former leader doesn't stop the refill of entitlements

A new leader counts the accepted jobs at the times at which former leaders accepted them. If these are in its future, the buckets weren't refilled until then.

The test on the code before:

entitlement_test.go: Overloaded != OK --- FAIL: TestInheritedEntitlementsIgnoreAFastClock

--- a/planner/entitlement.go
+++ b/planner/entitlement.go
@@ -84,14 +84,15 @@
 }
 
 // restoreEntitlements counts the jobs that former leaders accepted, in the order in which
-// they did. The state keeps ended jobs for much longer than the window.
+// they did. The state keeps ended jobs for much longer than the window. A former leader whose
+// clock was fast dates them in the future, which must not keep the buckets from being refilled.
 func (p *Planner) restoreEntitlements() {
 	jobs := slices.SortedFunc(maps.Values(p.state.Jobs), func(a, b *keeper.Job) int {
 		return cmp.Or(cmp.Compare(a.AcceptedAt, b.AcceptedAt), cmp.Compare(a.ID, b.ID))
 	})
 	for _, j := range jobs {
 		account, _ := p.state.Config.AccountByName(j.Account)
-		p.entitlements.add(account, j.ID, j.AcceptedAt)
+		p.entitlements.add(account, j.ID, min(j.AcceptedAt, p.now))
 		if j.Phase.IsFinal() {
 			p.entitlements.remove(j.ID)
 		}
--- a/planner/entitlement_test.go
+++ b/planner/entitlement_test.go
@@ -167,3 +167,25 @@
 		})
 	}
 }
+
+// TestInheritedEntitlementsIgnoreAFastClock guards an account against being held back after
+// a hand-over for as long as the clock of the former leader was fast.
+func TestInheritedEntitlementsIgnoreAFastClock(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(10_000_000)
+	state := weightedState()
+	p := newWeightedPlanner(now+clock.Hour, state)
+	reportUpstream(p, now+clock.Hour)
+	small := keeper.Step{Count: 1, Need: unit.Resources{CPU: 100}, Estimate: 100}
+	is.Equal(weightedSubmit(p, now+clock.Hour, 50, "u", "b", small).Code, planner.OK)
+	for i := range 3 {
+		is.Equal(weightedSubmit(p, now+clock.Hour, i, "q", "a", small).Code, planner.OK)
+	}
+	p = newWeightedPlanner(now, state)
+	behind := keeper.Step{Count: 100, Need: unit.Resources{CPU: 2500}, Estimate: 1000}
+	is.Equal(weightedSubmit(p, now, 60, "q", "b", behind).Code, planner.OK)
+	p.HandlePollResult(now, now, planner.Target{ID: "x", Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: 10})
+	p.Tick(now + 100)
+	// Account a is entitled to a job each second.
+	is.Equal(weightedSubmit(p, now+5*clock.Second, 100, "q", "a", small).Code, planner.OK)
+}
