planner: the time that waiting work takes doesn't overflow

With a job of many tasks and the longest estimate the sum exceeded 64 bits and became negative, so that no surplus was refused while that job waited.

The test on the code before:

entitlement_test.go: OK != Overloaded --- FAIL: TestHugeEstimatesCountAsWaitingWork

--- a/planner/entitlement_test.go
+++ b/planner/entitlement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -189,3 +190,21 @@
 	// Account a is entitled to a job each second.
 	is.Equal(weightedSubmit(p, now+5*clock.Second, 100, "q", "a", small).Code, planner.OK)
 }
+
+// TestHugeEstimatesCountAsWaitingWork guards against waiting work whose sum overflows and then
+// counts as none.
+func TestHugeEstimatesCountAsWaitingWork(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(1_000_000)
+	p := newWeightedPlanner(now, weightedState())
+	reportUpstream(p, now)
+	small := keeper.Step{Count: 1, Need: unit.Resources{CPU: 100}, Estimate: 100}
+	is.Equal(weightedSubmit(p, now, 50, "u", "b", small).Code, planner.OK)
+	for i := range 5 {
+		is.Equal(weightedSubmit(p, now, i, "q", "a", small).Code, planner.OK)
+	}
+	huge := keeper.Step{Count: 100_000, Need: unit.Resources{CPU: 2500}, Estimate: math.MaxInt64 >> 13}
+	is.Equal(weightedSubmit(p, now, 60, "q", "b", huge).Code, planner.OK)
+	p.Tick(now + 100)
+	is.Equal(weightedSubmit(p, now+100, 100, "q", "a", small).Code, planner.Overloaded)
+}
--- a/planner/share.go
+++ b/planner/share.go
@@ -88,7 +88,7 @@
 			uses[i].wanted += wanted
 		}
 	}
-	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses), drainTime: clock.Millis(drainTime)}
+	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses), drainTime: clock.Millis(min(drainTime, float64(maxTime)))}
 }
 
 // totalCapacity returns the capacity of all upstreams that may get new tasks.
