planner: the check of a job of many steps visits the upstreams less often

For a job of 1,000 steps whose label only one of 5,900 upstreams has, each step visited the upstreams, while all other events waited.

The test on the code before:

--- FAIL: TestFeasibilityOfManySteps a submission takes 103.001544ms

--- a/planner/entitlement_test.go
+++ b/planner/entitlement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -208,3 +209,34 @@
 	p.Tick(now + 100)
 	is.Equal(weightedSubmit(p, now+100, 100, "q", "a", small).Code, planner.Overloaded)
 }
+
+// TestFeasibilityOfManySteps guards against a check of a job that visits all upstreams for
+// each of its steps: 1,000 of them need a label that one of 5,900 upstreams has. All other
+// events wait meanwhile, and a sweep is due each 50 ms.
+func TestFeasibilityOfManySteps(t *testing.T) {
+	const upstreams = 5900
+	now := clock.Millis(1_000_000)
+	p := newWeightedPlanner(now, weightedState())
+	for i := range upstreams {
+		r := reportOf(i, 1, now)
+		r.Upstream.Labels = []string{"cpu", "z0", "r1"}
+		if r.Upstream.ID == "u999" {
+			r.Upstream.Labels = []string{"ssd", "z0", "r1"}
+		}
+		p.HandleReport(now, r, func() {})
+	}
+	submission := keeper.Submission{}
+	for range 1000 {
+		submission.Steps = append(submission.Steps, keeper.Step{Count: 1, Requires: "ssd", Need: unit.Resources{CPU: 100}, Estimate: 100})
+	}
+	best := clock.Minute.Duration()
+	for i := range 3 {
+		id := keeper.JobID(fmt.Sprintf("%016x", i))
+		started := time.Now()
+		p.HandleRequest(now, planner.Submit{Address: planner.Address{Host: "h", Path: "/q/" + string(id), APIKey: "b"}, ID: id, Submission: submission}, func(planner.Reply) {})
+		best = min(best, time.Since(started))
+	}
+	if best > 50*time.Millisecond {
+		t.Errorf("a submission takes %v", best)
+	}
+}
--- a/planner/feasible.go
+++ b/planner/feasible.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"slices"
+
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/unit"
@@ -15,6 +17,11 @@
 // task. It returns an empty string if the submission can be served, or if the domain has no
 // upstream of the service yet.
 func (p *Planner) feasible(account *keeper.Account, service string, submission *keeper.Submission) string {
+	// fitting are the capacities of upstreams that hold an earlier step, by label. With them
+	// the upstreams are visited at most once for each kind of upstream, and not for each of
+	// up to maxSteps steps.
+	fitting := map[string][]unit.Resources{}
+	unknown := false
 	for i := range submission.Steps {
 		s := &submission.Steps[i]
 		need := p.state.NeedOf(s)
@@ -25,8 +32,17 @@
 		if account != nil && exceedsQuota(together, account.Quota) {
 			return "the tasks that must run together need more than the account's maximum"
 		}
-		if known, fits := p.anyUpstreamFits(s, need, service); known && !fits {
+		if unknown || slices.ContainsFunc(fitting[s.Requires], need.Fits) {
+			continue
+		}
+		known, u := p.fittingUpstream(s, need, service)
+		switch {
+		case u != nil:
+			fitting[s.Requires] = append(fitting[s.Requires], u.Capacity)
+		case known:
 			return "no upstream of the service can hold a task"
+		default:
+			unknown = true
 		}
 	}
 	return ""
@@ -43,17 +59,17 @@
 	return false
 }
 
-// anyUpstreamFits reports whether the service has upstreams, and whether one of them has the
-// label and the capacity for a task.
-func (p *Planner) anyUpstreamFits(s *keeper.Step, need unit.Resources, service string) (known, fits bool) {
+// fittingUpstream returns an upstream that has the label and the capacity for a task, or nil,
+// and whether the service has upstreams at all.
+func (p *Planner) fittingUpstream(s *keeper.Step, need unit.Resources, service string) (known bool, fitting *upstream) {
 	for _, u := range p.byID {
 		if u.Service != service || u.ended {
 			continue
 		}
 		known = true
 		if u.HasLabel(s.Requires) && need.Fits(u.Capacity) {
-			return true, true
+			return true, u
 		}
 	}
-	return known, false
+	return known, nil
 }
