planner: property test of hand-overs at every step of a load

The load has entitlements, tickets, gangs and an evacuation. After each hand-over all accepted jobs are submitted again and must be acknowledged.

It passes on this code. It doesn't fail if a new leader leaves broken gangs alone, which TestNewLeaderStopsRestOfBrokenGang covers.

--- a/planner/property_test.go
+++ b/planner/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -140,6 +141,12 @@
 	for range 1200 {
 		sim.step(50)
 	}
+	sim.checkEnded()
+}
+
+// checkEnded checks that all accepted jobs have ended in a valid phase and have left nothing
+// running.
+func (sim *simulation) checkEnded() {
 	for _, id := range sim.jobs {
 		j := sim.log.Jobs[id]
 		switch {
@@ -182,3 +189,177 @@
 	}
 	is.Equal(maxUsed, unit.MilliCPU(3000))
 }
+
+// TestHandOverAtEveryStep guards against what a leader loses when it takes over in the middle
+// of a load: there is a new leader after each step of a recorded load, once with all of its
+// predecessor's commands and once without those of the last pass.
+func TestHandOverAtEveryStep(t *testing.T) {
+	for step := range handOverSteps {
+		for _, loses := range []bool{false, true} {
+			handOver{seed: 1, steps: []int{step}, loses: loses, long: step%4 == 0}.run(t)
+		}
+	}
+}
+
+// TestPropertyHandOver is like TestHandOverAtEveryStep, for random loads with several
+// hand-overs, of which some follow after a time without a leader, and with faults of orders
+// and reports in some loads.
+func TestPropertyHandOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		handOver{
+			seed:       rapid.Uint64().Draw(t, "seed"),
+			steps:      rapid.SliceOfN(rapid.IntRange(0, handOverSteps-1), 1, 4).Draw(t, "steps"),
+			loses:      rapid.Bool().Draw(t, "loses"),
+			faults:     rapid.Bool().Draw(t, "faults"),
+			long:       rapid.IntRange(0, 7).Draw(t, "long") == 7,
+			leaderless: clock.Millis(rapid.IntRange(0, 1500).Draw(t, "leaderless")),
+		}.run(t)
+	})
+}
+
+const (
+	// handOverSteps is the number of steps of the load of a handOver, and handOverStep the
+	// time of each.
+	handOverSteps = 40
+	handOverStep  = 150 * clock.Millisecond
+)
+
+// handOver is a load with jobs of two accounts, of which one submits more than it is
+// entitled to, with gangs, tickets and an evacuation.
+type handOver struct {
+	seed uint64
+	// steps are the steps after which another leader takes over, the given time later. If
+	// loses is set, what the former leader decided last isn't committed.
+	steps []int
+	loses bool
+	// faults is set if orders and reports are lost or late, long if runs take up to 6 s.
+	faults, long bool
+	leaderless   clock.Millis
+}
+
+func (h handOver) run(t interface {
+	Fatalf(format string, args ...any)
+},
+) {
+	rng := rand.New(rand.NewPCG(h.seed, 1))
+	sim := newSimulation(t, rng.IntN, 4)
+	sim.faultless, sim.grantsTickets, sim.entitlementSlack, sim.evacuateBound = !h.faults, true, 2, 20
+	// Runs that take longer than that of the usual load are moved out of the zone.
+	sim.rareFaults = h.long
+	sim.log.ApplyCommand(keeper.SetConfig{Config: handOverConfig()})
+	sim.takeOver()
+	accepted := map[keeper.JobID]planner.Submit{}
+	for i := range handOverSteps {
+		jobs := rng.IntN(3)
+		if h.long {
+			// There has to be room for moves.
+			jobs /= 2
+		}
+		for range jobs {
+			sim.submitRecorded(accepted, h.draw(rng, len(sim.jobs)+100*i))
+		}
+		switch i {
+		case handOverSteps / 4:
+			sim.evacuate("z0", false)
+		case handOverSteps * 3 / 4:
+			sim.evacuate("z0", true)
+		}
+		sim.step(handOverStep)
+		if slices.Contains(h.steps, i) {
+			sim.handOver(h, accepted)
+		}
+	}
+	sim.faultless = true
+	sim.step(2 * clock.Second)
+	sim.evacuate("z0", true)
+	for range 1200 {
+		sim.step(100)
+		if !slices.ContainsFunc(sim.jobs, func(id keeper.JobID) bool { return !sim.log.Jobs[id].Phase.IsFinal() }) {
+			break
+		}
+	}
+	// The other members of a gang of which one is done end by themselves here, within the
+	// longest time of a run.
+	for range 70 {
+		sim.step(100)
+	}
+	sim.checkEnded()
+}
+
+// handOverConfig has an urgent queue, and one that requires tickets, in which account a is
+// entitled to two jobs a second.
+func handOverConfig() keeper.Config {
+	c := config(0)
+	c.Version = 2
+	low := &c.Queues[0].Queue
+	low.Priority, low.RequiresTicket, low.TicketTTL, low.AdviceBaseMillis, low.Stretch = 1, true, 2500, 40, 2
+	low.MaxAttempts = 20
+	c.Queues = append(c.Queues, keeper.QueueRoute{Host: "h", PathPrefix: "/u/", Queue: keeper.Queue{
+		Name: "u", Service: service, MaxAttempts: 20, Stretch: 20, TargetLatency: 500,
+	}})
+	c.Accounts = []keeper.Account{
+		{Name: "a", Keys: []string{"k"}, Weight: 2},
+		{Name: "b", Keys: []string{"l"}, Weight: 20, Quota: unit.Resources{CPU: 12000}},
+	}
+	return c
+}
+
+// draw draws a job.
+func (h handOver) draw(rng *rand.Rand, number int) planner.Submit {
+	id := keeper.JobID(fmt.Sprintf("%016x", number))
+	to, account := address(id), "k"
+	if rng.IntN(3) == 0 {
+		to.APIKey, account = "l", "l"
+	}
+	s := keeper.Step{
+		Count: 1 + rng.IntN(4), Gang: rng.IntN(3) == 0, Estimate: 500, Checkpointing: rng.IntN(2) == 0,
+		Need: unit.Resources{CPU: unit.MilliCPU(500 + 500*rng.IntN(3)), Memory: 100 * unit.Megabyte},
+	}
+	if account == "l" && rng.IntN(2) == 0 {
+		to.Path = "/u/" + string(id)
+	}
+	submission := keeper.Submission{Spec: "x", Steps: []keeper.Step{s}}
+	if rng.IntN(3) == 0 {
+		s.DependsOn = []int{0}
+		submission.Steps = append(submission.Steps, s)
+	}
+	return planner.Submit{Address: to, ID: id, Submission: submission}
+}
+
+// submitRecorded submits a job and records it if it was accepted.
+func (sim *simulation) submitRecorded(accepted map[keeper.JobID]planner.Submit, r planner.Submit) {
+	if sim.planner == nil || sim.now < sim.leaderlessUntil {
+		return
+	}
+	sim.planner.HandleRequest(sim.now, r, func(reply planner.Reply) {
+		if _, again := accepted[r.ID]; !again && reply.Code == planner.OK {
+			accepted[r.ID] = r
+			sim.jobs = append(sim.jobs, r.ID)
+		}
+	})
+	sim.commit()
+}
+
+// handOver has another leader take over. All accepted jobs are then submitted again, as after
+// lost answers, which must be acknowledged: a refusal says that the job hasn't run.
+func (sim *simulation) handOver(h handOver, accepted map[keeper.JobID]planner.Submit) {
+	if sim.planner == nil {
+		return
+	}
+	sim.planner.Tick(sim.now + 1)
+	if !h.loses {
+		sim.commit()
+	}
+	sim.planner, sim.leaderlessUntil = nil, sim.now+h.leaderless
+	for sim.planner == nil {
+		sim.step(20)
+	}
+	for _, id := range sim.jobs {
+		sim.planner.HandleRequest(sim.now, accepted[id], func(reply planner.Reply) {
+			if reply.Code != planner.OK {
+				sim.failf("the accepted job %s is refused when it is sent again: %+v", id, reply)
+			}
+		})
+	}
+	sim.commit()
+}
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -49,6 +49,8 @@
 	// evacuated are the zones of which an evacuation was acknowledged and no withdrawal was
 	// sent since then.
 	evacuated map[unit.AvailabilityZone]bool
+	// entitlementSlack is the planner's Config.EntitlementSlack.
+	entitlementSlack float64
 	// grantsTickets is set if an instance requests tickets and all upstreams are granted.
 	// ticketRequests have no answer yet.
 	grantsTickets  bool
@@ -134,7 +136,9 @@
 	if err != nil {
 		sim.failf("restoring the committed state: %v", err)
 	}
-	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour, EvacuateBound: sim.evacuateBound}, state)
+	sim.planner = planner.New(planner.Config{FencingToken: sim.term, LeaderSince: sim.now, MaxLease: maxLease, MaxListedEnds: sim.maxListedEnds, Retention: clock.Hour, EvacuateBound: sim.evacuateBound, EntitlementSlack: sim.entitlementSlack}, state)
+	// The answers go to the leader that has asked.
+	sim.ticketRequests = nil
 	sim.checkEvacuations()
 }
 
