--- a/planner/entitlement_test.go
+++ b/planner/entitlement_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -167,3 +169,74 @@
 		})
 	}
 }
+
+// TestInheritedEntitlementsIgnoreAFastClock guards an account against being held back after
+// a hand-over for as long as the clock of the former leader was fast.
+func TestInheritedEntitlementsIgnoreAFastClock(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(10_000_000)
+	state := weightedState()
+	p := newWeightedPlanner(now+clock.Hour, state)
+	reportUpstream(p, now+clock.Hour)
+	small := keeper.Step{Count: 1, Need: unit.Resources{CPU: 100}, Estimate: 100}
+	is.Equal(weightedSubmit(p, now+clock.Hour, 50, "u", "b", small).Code, planner.OK)
+	for i := range 3 {
+		is.Equal(weightedSubmit(p, now+clock.Hour, i, "q", "a", small).Code, planner.OK)
+	}
+	p = newWeightedPlanner(now, state)
+	behind := keeper.Step{Count: 100, Need: unit.Resources{CPU: 2500}, Estimate: 1000}
+	is.Equal(weightedSubmit(p, now, 60, "q", "b", behind).Code, planner.OK)
+	p.HandlePollResult(now, now, planner.Target{ID: "x", Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: 10})
+	p.Tick(now + 100)
+	// Account a is entitled to a job each second.
+	is.Equal(weightedSubmit(p, now+5*clock.Second, 100, "q", "a", small).Code, planner.OK)
+}
+
+// TestHugeEstimatesCountAsWaitingWork guards against waiting work whose sum overflows and then
+// counts as none.
+func TestHugeEstimatesCountAsWaitingWork(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(1_000_000)
+	p := newWeightedPlanner(now, weightedState())
+	reportUpstream(p, now)
+	small := keeper.Step{Count: 1, Need: unit.Resources{CPU: 100}, Estimate: 100}
+	is.Equal(weightedSubmit(p, now, 50, "u", "b", small).Code, planner.OK)
+	for i := range 5 {
+		is.Equal(weightedSubmit(p, now, i, "q", "a", small).Code, planner.OK)
+	}
+	huge := keeper.Step{Count: 100_000, Need: unit.Resources{CPU: 2500}, Estimate: math.MaxInt64 >> 13}
+	is.Equal(weightedSubmit(p, now, 60, "q", "b", huge).Code, planner.OK)
+	p.Tick(now + 100)
+	is.Equal(weightedSubmit(p, now+100, 100, "q", "a", small).Code, planner.Overloaded)
+}
+
+// TestFeasibilityOfManySteps guards against a check of a job that visits all upstreams for
+// each of its steps: 1,000 of them need a label that one of 5,900 upstreams has. All other
+// events wait meanwhile, and a sweep is due each 50 ms.
+func TestFeasibilityOfManySteps(t *testing.T) {
+	const upstreams = 5900
+	now := clock.Millis(1_000_000)
+	p := newWeightedPlanner(now, weightedState())
+	for i := range upstreams {
+		r := reportOf(i, 1, now)
+		r.Upstream.Labels = []string{"cpu", "z0", "r1"}
+		if r.Upstream.ID == "u999" {
+			r.Upstream.Labels = []string{"ssd", "z0", "r1"}
+		}
+		p.HandleReport(now, r, func() {})
+	}
+	submission := keeper.Submission{}
+	for range 1000 {
+		submission.Steps = append(submission.Steps, keeper.Step{Count: 1, Requires: "ssd", Need: unit.Resources{CPU: 100}, Estimate: 100})
+	}
+	best := clock.Minute.Duration()
+	for i := range 3 {
+		id := keeper.JobID(fmt.Sprintf("%016x", i))
+		started := time.Now()
+		p.HandleRequest(now, planner.Submit{Address: planner.Address{Host: "h", Path: "/q/" + string(id), APIKey: "b"}, ID: id, Submission: submission}, func(planner.Reply) {})
+		best = min(best, time.Since(started))
+	}
+	if best > 50*time.Millisecond {
+		t.Errorf("a submission takes %v", best)
+	}
+}
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -20,7 +20,8 @@
 	// longTicketRequest is the base time of a service call from which on a request counts
 	// as long. Long requests leave some instances free, so that urgent steps find one.
 	longTicketRequest = 150 * clock.Millisecond
-	// sparedRequesters is the number of instances that long requests leave free.
+	// sparedRequesters is the most instances that long requests leave free. They leave fewer
+	// than half of the instances free.
 	sparedRequesters = 2
 	// gangTasksPerRequest is the number of a gang's tasks for which one more concurrent
 	// request is sent: of the upstreams in a request about a third may run the gang, and
@@ -40,9 +41,9 @@
 	granted map[unit.Upstream]*grant
 	grants  []*grant
 	denied  map[unit.Upstream]bool
-	// requested are the upstreams in requests that are in progress, and requests is the
-	// number of these.
-	requested map[unit.Upstream]bool
+	// requested holds the upstreams in requests that are in progress, each with the number of
+	// its request. requests is the number of these.
+	requested map[unit.Upstream]int
 	requests  int
 	retryAt   clock.Millis
 	// renewals are the upstreams whose tickets have to be renewed.
@@ -103,12 +104,14 @@
 	return Reply{HTTPLimits: p.state.Config.HTTPLimits}
 }
 
-// forgetTickets drops the answers about an upstream's former incarnation.
+// forgetTickets drops the answers about an upstream's former incarnation, also those that
+// have yet to arrive.
 func (p *Planner) forgetTickets(id unit.Upstream) {
 	for _, s := range p.steps {
 		if s.tickets != nil {
 			s.tickets.removeTicket(id)
 			delete(s.tickets.denied, id)
+			delete(s.tickets.requested, id)
 		}
 	}
 }
@@ -156,7 +159,7 @@
 		if len(ids) == maxUpstreamsPerRequest {
 			break
 		}
-		if s.tickets.granted[u.ID] == nil && !s.tickets.denied[u.ID] && !s.tickets.requested[u.ID] && p.canRun(s, u, service) {
+		if s.tickets.granted[u.ID] == nil && !s.tickets.denied[u.ID] && s.tickets.requested[u.ID] == 0 && p.canRun(s, u, service) {
 			ids = append(ids, u.ID)
 		}
 	}
@@ -216,6 +219,7 @@
 // in the order of the steps, then those of the steps of which a run is to move.
 func (p *Planner) sendTicketRequests() {
 	available := p.availableRequesters()
+	spared := p.sparedRequesters()
 	p.adviceScarce = !slices.ContainsFunc(available, (*ticketRequester).isIdle)
 	for _, s := range slices.Concat(p.waiting, p.evacuation.wanting) {
 		if len(available) == 0 {
@@ -226,7 +230,7 @@
 		}
 		keep := 0
 		if s.job.Queue.AdviceBaseMillis >= float64(longTicketRequest) {
-			keep = sparedRequesters
+			keep = spared
 		}
 		for len(available) > keep {
 			if !available[0].isIdle() && (s.rank.overShare || s.rank.surplus) {
@@ -242,11 +246,24 @@
 	}
 }
 
+// sparedRequesters returns the number of instances that long requests leave free. It is less
+// than half of those that are alive: otherwise no long request would be sent where there are
+// only few.
+func (p *Planner) sparedRequesters() int {
+	alive := 0
+	for _, r := range p.ticketRequesters {
+		if r.isAlive(p.now) {
+			alive++
+		}
+	}
+	return max(0, min(sparedRequesters, (alive-1)/2))
+}
+
 // nextTicketRequest returns the upstreams of the next request for a step: those whose
 // tickets have expired, else those about which the service has not been asked.
 func (p *Planner) nextTicketRequest(s *step) []unit.Upstream {
 	if s.tickets == nil {
-		s.tickets = &stepTickets{granted: map[unit.Upstream]*grant{}, denied: map[unit.Upstream]bool{}, requested: map[unit.Upstream]bool{}}
+		s.tickets = &stepTickets{granted: map[unit.Upstream]*grant{}, denied: map[unit.Upstream]bool{}, requested: map[unit.Upstream]int{}}
 	}
 	t := s.tickets
 	switch {
@@ -285,11 +302,12 @@
 func (p *Planner) requestTickets(s *step, ids []unit.Upstream, requester *ticketRequester) {
 	requester.add(p.now, clock.Millis(s.job.Queue.AdviceBaseMillis+s.job.Queue.AdvicePerUpstreamMillis*float64(len(ids))))
 	s.tickets.requests++
+	p.lastTicketRequest++
 	for _, id := range ids {
-		s.tickets.requested[id] = true
+		s.tickets.requested[id] = p.lastTicketRequest
 	}
 	s.tickets.renewals = nil
-	p.addEffect(RequestTickets{Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: requester.doneAt - p.now + ticketTimeoutSlack})
+	p.addEffect(RequestTickets{Number: p.lastTicketRequest, Requester: requester.id, Step: s.id, Upstreams: ids, Timeout: requester.doneAt - p.now + ticketTimeoutSlack})
 }
 
 // HandleTickets handles the result of a ticket request. tickets holds the tickets that were
@@ -310,8 +328,13 @@
 	s.blocked = false
 	t := s.tickets
 	t.requests--
+	answered := make([]unit.Upstream, 0, len(request.Upstreams))
 	for _, id := range request.Upstreams {
-		delete(t.requested, id)
+		// An upstream that has restarted or gone since then is not in the request any more.
+		if t.requested[id] == request.Number {
+			delete(t.requested, id)
+			answered = append(answered, id)
+		}
 	}
 	if err != nil {
 		t.retryAt = p.now + ticketRetry
@@ -320,7 +343,7 @@
 	if ttl == 0 {
 		ttl = s.job.Queue.TicketTTL
 	}
-	for _, id := range request.Upstreams {
+	for _, id := range answered {
 		ticket, ok := tickets[id]
 		if !ok {
 			t.denied[id] = true
