--- a/planner/step.go
+++ b/planner/step.go
@@ -55,22 +55,15 @@
 	id        keeper.StepID
 }
 
-// class is the part of the order that precedes all others: the surplus of any account comes
-// after the entitled jobs of all, except for those that earn nothing any more.
-func (a rank) class() int {
-	switch {
-	case a.tier == worthless:
-		return int(2 * worthless)
-	case a.surplus:
-		return int(worthless + a.tier)
-	}
-	return int(a.tier)
-}
-
 func (a rank) compare(b rank) int {
 	switch {
-	case a.class() != b.class():
-		return a.class() - b.class()
+	case a.tier != b.tier:
+		return int(a.tier - b.tier)
+	case a.surplus != b.surplus:
+		if b.surplus {
+			return -1
+		}
+		return 1
 	case a.overShare != b.overShare:
 		if b.overShare {
 			return -1
