predictor, keeper: forecasts of running times, learned from the log

The planner's regression keeps one figure for a queue in the leader's memory: it has no spread, mixes slow upstreams with long tasks, and a new leader begins with nothing.

The package predictor gives a distribution from the queue, the account, the image, the size, the estimate, the ended tasks of the step and the upstream's slowness. keeper.State calls an optional observer as it applies the ends of runs; the planner's Learner feeds a predictor with them.

--- a/keeper/apply.go
+++ b/keeper/apply.go
@@ -182,6 +182,7 @@
 		}
 		return
 	}
+	s.notifyObserver(j, st, t, t.LiveRuns[i], c)
 	t.LiveRuns = slices.Delete(t.LiveRuns, i, i+1)
 	j.LiveRunCount--
 	s.release(j, c)
--- a/keeper/state.go
+++ b/keeper/state.go
@@ -29,6 +29,9 @@
 
 	// Now reads the clock that dates Allocation.AppliedAt on this replica. It may be nil.
 	Now func() clock.Millis
+	// Observer is called as commands are applied, under the lock. It may be nil. Neither it
+	// nor what it has learned is part of the replicated state or of a snapshot.
+	Observer Observer
 }
 
 var _ replicator.StateMachine = (*State)(nil)
@@ -99,8 +102,11 @@
 			appliedAt[key] = allocation.AppliedAt
 		}
 	}
-	s.mu.Unlock()
 	clone := New()
+	if s.Observer != nil {
+		clone.Observer = s.Observer.Clone()
+	}
+	s.mu.Unlock()
 	if err := clone.Restore(data); err != nil {
 		return nil, err
 	}
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -163,6 +163,7 @@
 	}
 	state := keeper.New()
 	state.Now = clk.Now
+	state.Observer = planner.NewLearner()
 	c := replicator.Config{
 		ID: mesh.Self(), Incarnation: storage.Incarnation(), LogID: "domain",
 		Seeds: s.Seeds, TargetVoters: 2*s.FaultTolerance + 1, DeadMemberTimeout: domainDeadMemberTimeout,
