planner: loads with unlike upstreams and tasks

The replays have equal upstreams, equal tasks inside a step and a progress that says nothing, so that no forecast of these can pay off there.

A load may now give upstreams speeds, spread the tasks of a step and list the true progress. The draws depend on the seed and the task only. New replays: smallUnlike and grownUnlike (0.7, 0.7, 1.7; spread 0.25), grownAlike (0.8, 1, 1.25; 0.2). -replay.seed chooses the seed of BenchmarkReplay.

--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -41,8 +42,24 @@
 	id          unit.Upstream
 	ends        []planner.EndedRun
 	lastEndSeq  int64
-	runs        map[keeper.RunKey]clock.Millis
+	runs        map[keeper.RunKey]loadRun
 	pendingPoll func()
+	// speed divides the running times of tasks.
+	speed float64
+}
+
+// loadRun is a run on a fake upstream.
+type loadRun struct {
+	endsAt clock.Millis
+	// speed is that of the run: for a gang, that of its slowest member.
+	speed float64
+	// whole is the time of the whole task at speed 1.
+	whole clock.Millis
+}
+
+// left returns the time that is left at speed 1.
+func (r loadRun) left(now clock.Millis) clock.Millis {
+	return clock.Millis(float64(r.endsAt-now) * r.speed)
 }
 
 // load simulates a domain under a continuous stream of jobs, in virtual time. Only the
@@ -90,6 +107,20 @@
 	pollCount          int
 	// submissionsEnded is set if no more jobs are submitted.
 	submissionsEnded bool
+	variety          variety
+	seed             uint64
+}
+
+// variety is how upstreams and the tasks of a step differ. The zero variety has equal
+// upstreams and equal tasks, and lists a progress that says nothing.
+type variety struct {
+	// speeds are those of the upstreams, in turn.
+	speeds []float64
+	// within is the standard deviation of the logarithm of the times inside a step. The
+	// members of a gang end together and don't differ.
+	within float64
+	// truePercent is set if upstreams list the true progress of runs.
+	truePercent bool
 }
 
 // Delays of the simulated network and disk, and sizes of the simulated domain.
@@ -110,11 +141,15 @@
 func loadKey(account int) string { return fmt.Sprintf("k%d", account) }
 
 func newLoad(seed uint64, upstreams, requesters int, memory unit.Bytes, queues []loadQueue) *load {
+	return newVariedLoad(seed, upstreams, requesters, memory, queues, variety{})
+}
+
+func newVariedLoad(seed uint64, upstreams, requesters int, memory unit.Bytes, queues []loadQueue, v variety) *load {
 	l := &load{
 		requesters: requesters, rng: rand.New(rand.NewPCG(seed, seed)), queues: queues, now: 1_000_000, upstreams: map[unit.Upstream]*loadUpstream{},
 		duration: map[keeper.StepID]clock.Millis{}, remaining: map[keeper.TaskID]clock.Millis{}, submitted: map[keeper.JobID]int{}, adviceMillis: map[unit.Queue]float64{},
 		due: make([]int, len(queues)), inTime: make([]int, len(queues)), late: make([]int, len(queues)),
-		rate: func(int, clock.Millis) float64 { return 1 }, restoreTime: loadRestore,
+		rate: func(int, clock.Millis) float64 { return 1 }, restoreTime: loadRestore, variety: v, seed: seed,
 	}
 	c := keeper.Config{
 		Version: 1, Services: []keeper.Service{{Name: service}},
@@ -131,7 +166,10 @@
 	state.ApplyCommand(keeper.SetConfig{Config: c})
 	l.planner = planner.New(planner.Config{FencingToken: 1, LeaderSince: l.now, MaxLease: 6000, Retention: clock.Minute}, state)
 	for i := range upstreams {
-		u := &loadUpstream{id: unit.Upstream(fmt.Sprintf("u%04d", i)), runs: map[keeper.RunKey]clock.Millis{}}
+		u := &loadUpstream{id: unit.Upstream(fmt.Sprintf("u%04d", i)), runs: map[keeper.RunKey]loadRun{}, speed: 1}
+		if len(v.speeds) > 0 {
+			u.speed = v.speeds[i%len(v.speeds)]
+		}
 		l.upstreams[u.id] = u
 		l.planner.HandleReport(l.now, planner.Report{Seq: 1, Clock: 1, Upstream: keeper.Upstream{
 			ID: u.id, Incarnation: 1, Address: string(u.id) + ":1", Service: service,
@@ -337,12 +375,14 @@
 
 func (l *load) start(e planner.Start) {
 	u := l.upstreams[e.Target.ID]
-	took := l.duration[e.Run.Task.StepID()]
+	whole := l.taskTime(e.Run.Task)
+	took, speed := whole, l.speedOf(u, e.Run)
 	if left, saved := l.remaining[e.Run.Task]; saved && e.Checkpoint != "" {
 		took = left + l.restoreTime
 		l.restoreCoreSeconds += float64(l.planner.State().Jobs[e.Run.Task.Job].Submission.Steps[e.Run.Task.Step].Need.CPU) / 1000 * float64(l.restoreTime) / 1000
 	}
-	u.runs[e.Run] = l.now + took
+	took = clock.Millis(float64(took) / speed)
+	u.runs[e.Run] = loadRun{l.now + took, speed, whole}
 	l.after(max(took, 1), func() {
 		if _, runs := u.runs[e.Run]; runs {
 			l.end(u, e.Run, keeper.RunDone)
@@ -352,7 +392,7 @@
 }
 
 func (l *load) end(u *loadUpstream, key keeper.RunKey, outcome keeper.RunOutcome) {
-	l.remaining[key.Task] = u.runs[key] - l.now
+	l.remaining[key.Task] = u.runs[key].left(l.now)
 	delete(u.runs, key)
 	u.lastEndSeq++
 	u.ends = append(u.ends, planner.EndedRun{Seq: u.lastEndSeq, Run: key, Outcome: outcome, Checkpoint: "c"})
@@ -364,12 +404,45 @@
 
 func (l *load) pollResult(u *loadUpstream) planner.PollResult {
 	s := planner.PollResult{Incarnation: 1, Clock: l.now - 999_999, Ended: u.ends}
-	for key := range u.runs {
-		s.Running = append(s.Running, planner.RunStatus{Run: key, Percent: int(l.now/10) % 99})
+	for key, r := range u.runs {
+		percent := int(l.now/10) % 99
+		if l.variety.truePercent {
+			percent = min(max(int(100-100*r.left(l.now)/max(r.whole, 1)), 0), 99)
+		}
+		s.Running = append(s.Running, planner.RunStatus{Run: key, Percent: percent})
 	}
 	return s
 }
 
+// taskTime returns the time of a task at speed 1. It depends on the seed and the task only,
+// so that policies can be compared.
+func (l *load) taskTime(id keeper.TaskID) clock.Millis {
+	step := l.duration[id.StepID()]
+	if l.variety.within == 0 || l.planner.State().Jobs[id.Job].Submission.Steps[id.Step].Gang {
+		return step
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id.String()))
+	return clock.Millis(float64(step) * math.Exp(l.variety.within*rand.New(rand.NewPCG(l.seed, h.Sum64())).NormFloat64()))
+}
+
+// speedOf returns the speed of a run. A gang is as slow as its slowest member.
+func (l *load) speedOf(u *loadUpstream, key keeper.RunKey) float64 {
+	j, st, _ := l.planner.State().LookupTask(key.Task)
+	if len(l.variety.speeds) == 0 || st == nil || !j.Submission.Steps[key.Task.Step].Gang {
+		return u.speed
+	}
+	slowest := u.speed
+	for _, t := range st.Tasks {
+		for _, r := range t.LiveRuns {
+			if r.Number == key.Number {
+				slowest = min(slowest, l.upstreams[r.Upstream].speed)
+			}
+		}
+	}
+	return slowest
+}
+
 func (l *load) poll(u *loadUpstream) {
 	poll, ok := l.planner.NextPoll(l.now, u.id)
 	if !ok {
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/matryer/is"
@@ -16,13 +17,14 @@
 	upstreams, requesters int
 	memory                unit.Bytes
 	queues                func() []loadQueue
+	variety               variety
 }
 
 // The users' deployments without an eighth of their upstreams.
 var replays = map[string]replay{
-	"small": {42, 9, 64 * unit.Gigabyte, smallQueues},
-	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues},
-	"large": {960, 147, 64 * unit.Gigabyte, largeQueues},
+	"small": {42, 9, 64 * unit.Gigabyte, smallQueues, variety{}},
+	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, variety{}},
+	"large": {960, 147, 64 * unit.Gigabyte, largeQueues, variety{}},
 	// A fifth of the upstreams is missing, and there are a quarter more jobs.
 	"overload": {870, 147, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -30,7 +32,7 @@
 			queues[i].perSecond *= 1.25
 		}
 		return queues
-	}},
+	}, variety{}},
 	// An eighth of the large deployment, for the tests.
 	"eighth": {120, 18, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -38,9 +40,21 @@
 			queues[i].perSecond /= 8
 		}
 		return queues
-	}},
+	}, variety{}},
+	// The users' deployments with unlike upstreams, on which tasks of a step differ.
+	"smallUnlike": {42, 9, 64 * unit.Gigabyte, smallQueues, unlike},
+	"grownAlike":  {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, alike},
+	"grownUnlike": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, unlike},
 }
 
+var (
+	unlike = variety{speeds: []float64{0.7, 0.7, 1.7}, within: 0.25, truePercent: true}
+	alike  = variety{speeds: []float64{0.8, 1, 1.25}, within: 0.2, truePercent: true}
+)
+
+// replaySeed is the seed of BenchmarkReplay.
+var replaySeed = flag.Uint64("replay.seed", 1, "seed of BenchmarkReplay")
+
 const (
 	// replayRestore is how much longer a start from a checkpoint takes on the users'
 	// upstreams.
@@ -77,7 +91,7 @@
 			change(&queues[i])
 		}
 	}
-	l := newLoad(seed, r.upstreams, r.requesters, r.memory, queues)
+	l := newVariedLoad(seed, r.upstreams, r.requesters, r.memory, queues, r.variety)
 	began := l.now
 	l.restoreTime = replayRestore
 	l.rate = func(queue int, now clock.Millis) float64 { return bursts(queue, now-began) }
@@ -218,7 +232,7 @@
 		for policy, change := range map[string]func(q *loadQueue){"now": nil, "nobodyYields": neverPreempt} {
 			b.Run(name+"/"+policy, func(b *testing.B) {
 				for b.Loop() {
-					l := r.run(1, change)
+					l := r.run(*replaySeed, change)
 					all, queues := l.earned()
 					b.ReportMetric(all, "earned")
 					for i, q := range l.queues {
