planner: order, placement, preemption and stall checks use the forecast

The planner's own regression gave one figure for each queue, a fixed factor of 2 decided when a run is overdue, and the slowness of an upstream came from whole steps only.

The planner now takes the predictor from the observer of its state, so that a new leader begins with what its instance has learned from the log. Critical paths, objectives and latest ends use the median with the evidence of the step; scores use the learned slowness of the upstream; preemption looks at the remaining time given the time already run and the progress that the upstream lists, weighted by how true it has been; a run is overdue after its own 0.9 quantile, which the ended tasks of its step narrow. predictedEnd gives the end of a run at a quantile. Start effects carry the forecast for the log, not on the wire. The predictor keeps the evidence of ended steps, so that the objective of a job doesn't change when a step ends.

--- a/planner/candidate.go
+++ b/planner/candidate.go
@@ -146,7 +146,7 @@
 // running time, relative to a usual upstream, and the share of the capacity that would be
 // left over. Preferring little leftover keeps large gaps for large tasks.
 func (p *Planner) score(s *step, u *upstream, need unit.Resources) float64 {
-	time := u.health.slowness(p.now)
+	time := p.slowness(u)
 	if s.spec.DataRack != "" && s.spec.DataRack != u.Rack {
 		time *= remoteDataFactor
 	}
--- a/planner/effect.go
+++ b/planner/effect.go
@@ -22,6 +22,8 @@
 	// beginning.
 	Checkpoint string
 	Ticket     string
+	// Forecast is for the log of this instance; orders don't carry it.
+	Forecast *RunForecast `cbor:"-"`
 }
 
 // Stop is the order to stop a run.
--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -1,6 +1,11 @@
 package planner
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
+)
 
 // Describe describes the live runs and the upstreams, for the messages of failed tests.
 func (p *Planner) Describe() string {
@@ -14,5 +19,23 @@
 	return text
 }
 
+// Forecasts returns the quantile of the forecast of each step of the jobs that haven't ended.
+func (p *Planner) Forecasts(q float64) map[string]clock.Millis {
+	list := map[string]clock.Millis{}
+	for id, j := range p.state.Jobs {
+		if j.Phase.IsFinal() {
+			continue
+		}
+		delete(p.forecasts, id)
+		for i, f := range p.forecastOf(j).steps {
+			list[fmt.Sprint(id, i)] = f.Quantile(q)
+		}
+	}
+	return list
+}
+
+// Slowness returns the expected time of tasks on an upstream, relative to the usual time.
+func (p *Planner) Slowness(id unit.Upstream) float64 { return p.slowness(p.upstreams[id]) }
+
 // MaxBacklog exports maxBacklog.
 const MaxBacklog = maxBacklog
--- /dev/null
+++ b/planner/forecast_test.go
@@ -0,0 +1,179 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/encoder"
+	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/planner"
+	"github.com/chervilvane/chervilvane/unit"
+)
+
+// TestReplayForecastsHold guards the forecasts of the runs of a whole replay: of the ends
+// predicted at the 0.9 quantile, 85 to 95 of 100 must come earlier, and the forecast must be
+// closer than the client's estimate.
+func TestReplayForecastsHold(t *testing.T) {
+	for name, r := range map[string]replay{"equal": replays["small"], "unlike": replays["smallUnlike"]} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := r.run(1, nil).planner.Status().Forecast
+			held := float64(s.EarlierThanHigh) / float64(s.Ends)
+			t.Logf("%d ends, %.3f before the median, %.3f before the 0.9 quantile, error %.3f, of the estimate %.3f",
+				s.Ends, float64(s.EarlierThanMedian)/float64(s.Ends), held, s.Error, s.EstimateError)
+			is.True(held >= 0.85 && held <= 0.95)
+			is.True(s.Error < s.EstimateError)
+		})
+	}
+}
+
+// TestSuccessorForecastsAsItsPredecessor guards the hand-over of the leadership: what another
+// instance has learned from the log must give its planner the forecasts of the former leader.
+func TestSuccessorForecastsAsItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	l := replays["smallUnlike"].prepare(1, nil)
+	replica, err := l.planner.State().Clone()
+	is.NoErr(err)
+	l.replica = replica
+	l.run(l.now + 15*clock.Second)
+	state, err := replica.Clone()
+	is.NoErr(err)
+	state.Now = nil
+	successor := planner.New(planner.Config{FencingToken: 2, LeaderSince: l.now, MaxLease: 6000, Retention: clock.Minute}, state)
+	l.planner.Tick(l.now)
+	is.True(len(successor.Forecasts(0.5)) > 10)
+	is.Equal(successor.Forecasts(0.5), l.planner.Forecasts(0.5))
+	is.Equal(successor.Forecasts(0.9), l.planner.Forecasts(0.9))
+	is.Equal(successor.Slowness("u0002"), l.planner.Slowness("u0002"))
+}
+
+// TestTaskGoesToTheFasterUpstream guards against a placement that doesn't know the speeds:
+// once tasks have run, a fast upstream must be known as such and be chosen for a task.
+func TestTaskGoesToTheFasterUpstream(t *testing.T) {
+	is := is.New(t)
+	queues := smallQueues()
+	for i := range queues {
+		queues[i].RequiresTicket = false
+		queues[i].perSecond /= 3
+	}
+	l := newVariedLoad(1, 42, 9, 64*unit.Gigabyte, queues, unlike)
+	l.run(l.now + 15*clock.Second)
+	l.submissionsEnded = true
+	l.run(l.now + 5*clock.Second)
+	var fast, slow []float64
+	for id, u := range l.upstreams {
+		if u.speed == 1.7 {
+			fast = append(fast, l.planner.Slowness(id))
+		} else {
+			slow = append(slow, l.planner.Slowness(id))
+		}
+	}
+	t.Logf("mean slowness of the fast upstreams %.2f, of the slow ones %.2f", mean(fast), mean(slow))
+	is.True(mean(fast) < 0.9) // the true one is 0.59
+	is.True(mean(slow) > 1.1) // the true one is 1.43
+	to := planner.Address{Host: "h", Path: "/build/" + string(jobID), APIKey: loadKey(0)}
+	l.planner.HandleRequest(l.now, planner.Submit{Address: to, ID: jobID, Submission: newSubmission(1000, 1)}, func(planner.Reply) {})
+	l.planner.Tick(l.now)
+	_, effects := l.planner.TakeOutput()
+	for _, e := range effects {
+		if s, ok := e.(planner.Start); ok {
+			is.Equal(l.upstreams[s.Target.ID].speed, 1.7)
+			is.True(s.Forecast.Slowness < mean(slow))
+			return
+		}
+	}
+	t.Fatal("the task didn't start")
+}
+
+// TestRunIsOverdueByItsSiblings guards against a stalled run that holds up its job for long
+// because the client's estimate is far too high: the ended tasks of the step tell that it is
+// overdue. A run that makes progress is not stopped, however late it is.
+func TestRunIsOverdueByItsSiblings(t *testing.T) {
+	for name, progress := range map[string]bool{"no progress": false, "progress": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(*keeper.Config) {})
+			submission := newSubmission(100, 6)
+			submission.Steps[0].Estimate = 30 * clock.Second
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: submission})
+			sim.planner.Tick(sim.now)
+			byUpstream := map[unit.Upstream][]planner.Start{}
+			var last planner.Start
+			for _, s := range acceptStarts(sim) {
+				byUpstream[s.Target.ID] = append(byUpstream[s.Target.ID], s)
+				last = s
+			}
+			sim.now += clock.Second
+			for id, list := range byUpstream {
+				if id == last.Target.ID {
+					pollWithEnds(sim, id, list[:len(list)-1], list[len(list)-1:])
+					continue
+				}
+				pollWithEnds(sim, id, list, nil)
+			}
+			stopped := false
+			percent := 1
+			for i := range 100 {
+				sim.now += 100
+				if progress {
+					percent = 1 + i/2
+				}
+				sim.planner.HandlePollResult(sim.now, sim.now, last.Target, planner.PollResult{
+					Incarnation: 1, Clock: sim.upstream(last.Target.ID).clock(), Running: []planner.RunStatus{{Run: last.Run, Percent: percent}},
+				})
+				sim.planner.PollNowDone(last.Target)
+				sim.planner.Tick(sim.now)
+				_, effects := sim.planner.TakeOutput()
+				for _, e := range effects {
+					if s, ok := e.(planner.Stop); ok {
+						is.Equal(s.Run, last.Run)
+						stopped = true
+					}
+				}
+			}
+			is.Equal(stopped, !progress)
+		})
+	}
+}
+
+// TestRunThatIsNearlyDoneIsNotPreempted guards against stopping runs for an urgent step that
+// their progress shows to end at once, although the client's estimate is much longer.
+func TestRunThatIsNearlyDoneIsNotPreempted(t *testing.T) {
+	for name, percent := range map[string]int{"nearly done": 90, "far from done": 25} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(k *keeper.Config) {
+				k.Queues = append(k.Queues, keeper.QueueRoute{Host: "h", PathPrefix: "/low/", Queue: keeper.Queue{Name: "low", Service: service, Priority: 1, MaxAttempts: 3, Stretch: 90}})
+			})
+			low := newSubmission(1000, 12)
+			low.Steps[0].Checkpointing, low.Steps[0].Estimate = true, 8*clock.Second
+			sim.request(planner.Submit{Address: planner.Address{Host: "h", Path: "/low/" + string(jobID), APIKey: "k"}, ID: jobID, Submission: low})
+			sim.planner.Tick(sim.now)
+			running := map[unit.Upstream][]planner.RunStatus{}
+			for _, s := range acceptStarts(sim) {
+				running[s.Target.ID] = append(running[s.Target.ID], planner.RunStatus{Run: s.Run, Percent: percent})
+			}
+			sim.now += 3 * clock.Second
+			for id, list := range running {
+				sim.planner.HandlePollResult(sim.now, sim.now, planner.Target{ID: id, Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: sim.upstream(id).clock(), Running: list})
+			}
+			second := keeper.JobID("00000000000000ac")
+			sim.request(planner.Submit{Address: address(second), ID: second, Submission: newSubmission(3000, 1)})
+			sim.planner.Tick(sim.now)
+			sim.now += 100
+			sim.planner.Tick(sim.now)
+			is.Equal(len(takeEffects[planner.Stop](sim)) > 0, percent < 50)
+		})
+	}
+}
+
+// TestForecastIsNotSent guards the format of orders, which instances of other versions relay:
+// the forecast of a start stays with the leader.
+func TestForecastIsNotSent(t *testing.T) {
+	is := is.New(t)
+	with, without := planner.Start{Spec: "x", Ticket: "t", Forecast: &planner.RunForecast{Median: 5}}, planner.Start{Spec: "x", Ticket: "t"}
+	is.Equal(encoder.Marshal(with), encoder.Marshal(without))
+	is.Equal(encoder.Marshal(without)[0], byte(0x86)) // an array of six fields
+}
--- a/planner/health.go
+++ b/planner/health.go
@@ -21,10 +21,6 @@
 	// failures counts the failed runs since the last successful one.
 	failures         int
 	quarantinedUntil clock.Millis
-	// logSlowness is the logarithm of the running time of tasks there, relative to other
-	// upstreams, as of slownessAt.
-	logSlowness float64
-	slownessAt  clock.Millis
 }
 
 func (h *health) isQuarantined(now clock.Millis) bool { return now < h.quarantinedUntil }
@@ -41,16 +37,13 @@
 	}
 }
 
-// learnFromRun updates the upstream's health and the queue's forecast at the end of a run.
+// learnFromRun updates the upstream's health at the end of a run. The state's observer has
+// learned the run's time.
 func (p *Planner) learnFromRun(r *run, outcome keeper.RunOutcome) {
 	if u := p.upstreams[r.upstream]; u != nil && u.Incarnation == r.incarnation {
 		u.health.addOutcome(p.now, outcome)
 	}
-	j := p.state.Jobs[r.key.Task.Job]
-	if s := p.steps[r.key.Task.StepID()]; s != nil && outcome == keeper.RunDone {
-		p.compareTimings(s, r)
-	}
-	if outcome == keeper.RunDone && r.ackedAt > 0 && !r.inherited && !r.resumed && j != nil && len(j.Submission.Steps) > 0 {
-		p.forecastOf(j).add(j.Submission.Steps[r.key.Task.Step].Estimate, p.now-r.ackedAt)
+	if outcome == keeper.RunDone {
+		p.invalidateForecasts(r.key.Task.StepID())
 	}
 }
--- a/planner/learner.go
+++ b/planner/learner.go
@@ -49,7 +49,7 @@
 func taskOf(j *keeper.Job, step *keeper.Step, index int) predictor.Task {
 	return predictor.Task{
 		Queue: j.Queue.Name, Account: j.Account, Step: predictor.StepID{Job: string(j.ID), Index: index},
-		Count: step.Count, Gang: step.Gang, Repeated: j.Submission.Repeat > 1,
+		Count: step.Count, Gang: step.Gang,
 		Image: step.Image, Need: step.Need, Estimate: step.Estimate,
 	}
 }
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -109,6 +109,8 @@
 	submissionsEnded bool
 	variety          variety
 	seed             uint64
+	// replica, if it isn't nil, is the state of another instance, which applies the log.
+	replica *keeper.State
 }
 
 // variety is how upstreams and the tasks of a step differ. The zero variety has equal
@@ -236,7 +238,10 @@
 }
 
 func (l *load) collect() {
-	_, e := l.planner.TakeOutput()
+	c, e := l.planner.TakeOutput()
+	if l.replica != nil && len(c) > 0 {
+		l.replica.Apply(0, keeper.EncodeBatch(c))
+	}
 	l.effects = append(l.effects, e...)
 	l.commit()
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -13,7 +13,7 @@
 // a stop, or until the lease of the upstream must have expired.
 //
 // The rules that decide are in plan.go (one planning pass), step.go and predict.go (the
-// order of the waiting steps), share.go (fair shares), candidate.go and gang.go (the choice
+// order of the waiting steps), forecast.go (running times), share.go (fair shares), candidate.go and gang.go (the choice
 // of upstreams), preempt.go (capacity for urgent steps) and tickets.go (admission tickets).
 package planner
 
@@ -23,6 +23,7 @@
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/predictor"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -74,9 +75,15 @@
 	// nextOccurrence is the next occurrence to queue of each repeated job.
 	nextOccurrence   map[keeper.JobID]int
 	ticketRequesters map[unit.Instance]*ticketRequester
-	// forecasts predict the running times of the tasks of each queue.
-	forecasts map[unit.Queue]*forecast
-	urgent    urgentNeed
+	// predictor predicts running times. It learns from the commands that the state applies.
+	predictor *predictor.Predictor
+	// forecasts are the cached forecasts of jobs that haven't ended; siblings is reused to
+	// make them.
+	forecasts      map[keeper.JobID]*jobForecast
+	siblings       []predictor.Running
+	progressNoise  progressNoise
+	forecastStatus ForecastStatus
+	urgent         urgentNeed
 	// meanGangSize is a moving average of the number of tasks of a gang.
 	meanGangSize float64
 	// backlog is the estimated size of the jobs that haven't ended: it is summed up anew at
@@ -113,7 +120,8 @@
 		stepsByJob:       map[keeper.JobID][]*step{},
 		nextOccurrence:   map[keeper.JobID]int{},
 		ticketRequesters: map[unit.Instance]*ticketRequester{},
-		forecasts:        map[unit.Queue]*forecast{},
+		forecasts:        map[keeper.JobID]*jobForecast{},
+		predictor:        learnerOf(state).predictor,
 		quotaFreed:       map[unit.ClientAccount]bool{},
 		reservedQuota:    map[unit.ClientAccount]unit.Resources{},
 		orphans:          map[unit.Upstream]map[keeper.RunKey]bool{},
--- a/planner/predict.go
+++ b/planner/predict.go
@@ -1,64 +1,10 @@
 package planner
 
 import (
-	"math"
-
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
 )
 
-// priorWeight is the weight of the client's estimate, as a number of runs, in the slope of
-// a forecast. Few runs say little about the slope.
-const priorWeight = 20
-
-// forecast predicts the running times of a queue's tasks from the clients' estimates, which
-// may be far off. It is a linear regression of the logarithms. Where the estimates carry no
-// information, the slope is near 0 and the forecast is the usual time.
-type forecast struct {
-	n            float64
-	meanX, meanY float64
-	varX, covXY  float64
-}
-
-// add adds a run that took a known time without an interruption.
-func (f *forecast) add(estimate, took clock.Millis) {
-	if estimate <= 0 || took <= 0 {
-		return
-	}
-	x, y := math.Log(float64(estimate)), math.Log(float64(took))
-	f.n++
-	dx := x - f.meanX
-	f.meanX += dx / f.n
-	f.meanY += (y - f.meanY) / f.n
-	f.varX += dx * (x - f.meanX)
-	f.covXY += dx * (y - f.meanY)
-}
-
-// predict returns the predicted running time of a task. Without any run it returns the
-// estimate.
-func (f *forecast) predict(estimate clock.Millis) clock.Millis {
-	if estimate <= 0 || f == nil || f.n < 1 {
-		return estimate
-	}
-	// The prior assumes that the estimate is right, with a spread of about a factor of e.
-	slope := (f.covXY + priorWeight) / (f.varX + priorWeight)
-	slope = min(max(slope, 0), 1)
-	x := math.Log(float64(estimate))
-	y := f.meanY + slope*(x-f.meanX)
-	weight := f.n / (f.n + 1)
-	return clock.Millis(math.Exp(weight*y + (1-weight)*x))
-}
-
-// forecastOf returns the forecast of a job's queue.
-func (p *Planner) forecastOf(j *keeper.Job) *forecast {
-	f := p.forecasts[j.Queue.Name]
-	if f == nil {
-		f = &forecast{}
-		p.forecasts[j.Queue.Name] = f
-	}
-	return f
-}
-
 // objectiveRequestSize is the number of upstreams per ticket request that the platform
 // assumes when it determines a job's objective.
 const objectiveRequestSize = 30
@@ -66,7 +12,7 @@
 // criticalPath returns the predicted time of the longest chain of dependent steps that
 // begins with the given step, or of the longest chain of all if from is -1.
 func (p *Planner) criticalPath(j *keeper.Job, from int) clock.Millis {
-	f := p.forecastOf(j)
+	medians := p.forecastOf(j).medians
 	advice := clock.Millis(0)
 	if j.Queue.RequiresTicket {
 		advice = clock.Millis(j.Queue.AdviceBaseMillis + objectiveRequestSize*j.Queue.AdvicePerUpstreamMillis)
@@ -83,7 +29,7 @@
 			}
 		}
 		if onChain {
-			ends[i] = start + advice + f.predict(s.Estimate)
+			ends[i] = start + advice + medians[i]
 			longest = max(longest, ends[i])
 		}
 	}
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -216,9 +216,6 @@
 	// minPreemptibleTime is the shortest remaining time of a preemptible run: one that ends
 	// sooner frees its capacity by itself, about as soon as a stop would.
 	minPreemptibleTime = 800 * clock.Millisecond
-	// minRemainingDivisor makes a quarter of the predicted time the least remaining time of
-	// a run, since predictions may be off by a factor.
-	minRemainingDivisor = 4
 	// preemptionCost is the time that a preemption costs a task: its restore, a request for
 	// a new ticket and the wait for capacity.
 	preemptionCost = 6 * clock.Second
@@ -232,12 +229,12 @@
 // run were preempted, the restores would use capacity, the restarts would request tickets
 // again, and the preempted jobs would be late in turn.
 func (p *Planner) isPreemptible(r *run, s *step) bool {
-	left := max(r.predicted-(p.now-r.recordedAt), r.predicted/minRemainingDivisor)
-	if left < minPreemptibleTime || !p.isLarge(s) && p.now+preemptionCost+left > r.latestEnd {
+	if r.spec == nil || !r.spec.Checkpointing || r.spec.Gang || r.spec.LongRunning || r.key.Number > maxPreemptions ||
+		r.ackedAt == 0 || r.inherited || r.job.Queue.Priority <= s.job.Queue.Priority || r.job.Phase.IsFinal() {
 		return false
 	}
-	return r.spec != nil && r.spec.Checkpointing && !r.spec.Gang && !r.spec.LongRunning && r.key.Number <= maxPreemptions &&
-		r.ackedAt > 0 && r.job.Queue.Priority > s.job.Queue.Priority && !r.job.Phase.IsFinal()
+	left := p.remaining(r)
+	return left >= minPreemptibleTime && (p.isLarge(s) || p.now+preemptionCost+left <= r.latestEnd)
 }
 
 // stopVictims stops preemptible runs, the latest started first, until need fits on the
--- a/planner/run.go
+++ b/planner/run.go
@@ -43,12 +43,22 @@
 	checkpoint      string
 	percent         int
 	progressAt      clock.Millis
-	// latestEnd is the latest end of the run with which its job can still end in time;
-	// predicted is its predicted running time. Both are 0 for an inherited run, which is
-	// therefore never preempted.
-	latestEnd, predicted clock.Millis
-	// nextCheckAt is when to check next whether the run makes progress.
-	nextCheckAt clock.Millis
+	// firstProgress is the progress as it was first listed. progressWentBack is set if it
+	// has ever become less. suggested is the total time that the progress first suggested.
+	firstProgress    progress
+	progressWentBack bool
+	suggested        clock.Millis
+	// forecast is the forecast at the start; nil for an inherited run. latestEnd is the latest
+	// end of the run with which its job can still end in time; 0 for an inherited run, which
+	// is therefore never preempted.
+	forecast  *RunForecast
+	latestEnd clock.Millis
+	// endForecast is the cached median of the run's end, as of endForecastAt.
+	endForecast, endForecastAt clock.Millis
+	// nextCheckAt is when to check next whether the run makes progress. overdue is set once
+	// it was found to be overdue, as it is from overdueAt on.
+	nextCheckAt, overdueAt clock.Millis
+	overdue                bool
 }
 
 // mayStartLate reports whether the start may still be executed.
@@ -76,8 +86,16 @@
 	if status.Checkpoint != "" {
 		r.checkpoint = status.Checkpoint
 	}
-	if status.Percent != r.percent || r.progressAt == 0 {
-		r.percent, r.progressAt = status.Percent, now
+	if status.Percent == r.percent && r.progressAt > 0 {
+		return
+	}
+	if r.progressAt == 0 {
+		r.firstProgress = progress{status.Percent, now}
+	}
+	r.progressWentBack = r.progressWentBack || status.Percent < r.percent
+	r.percent, r.progressAt = status.Percent, now
+	if r.suggested == 0 {
+		r.suggested = r.totalByProgress()
 	}
 }
 
@@ -126,14 +144,15 @@
 		p.stopBestEffortRuns(u)
 	}
 	checkpoint := s.checkpoint(index)
-	predicted, remaining := p.forecastOf(s.job).predict(s.spec.Estimate), p.criticalPath(s.job, s.id.Step)
+	f := p.forecastStart(s, u)
+	chain := p.criticalPath(s.job, s.id.Step)
 	p.addRun(u, &run{
 		key: key, incarnation: u.Incarnation, recordedAt: p.now, sentAt: p.now, resumed: checkpoint != "",
-		predicted: predicted, latestEnd: s.rank.deadline - max(remaining-predicted, 0),
+		forecast: f, latestEnd: s.rank.deadline - max(chain-f.Median, 0),
 	})
 	p.addEffect(Start{
 		Run: key, Target: u.target(), Spec: s.job.Submission.Spec, Ticket: ticket,
-		LeaseExpiry: u.extendLease(p.now, p.cfg.MaxLease), Checkpoint: checkpoint,
+		LeaseExpiry: u.extendLease(p.now, p.cfg.MaxLease), Checkpoint: checkpoint, Forecast: f,
 	})
 }
 
@@ -271,6 +290,7 @@
 	if j := p.state.Jobs[r.key.Task.Job]; j != nil {
 		p.quotaFreed[j.Account] = true
 	}
+	p.judgeForecast(r, outcome)
 	p.record(keeper.EndRun{
 		Task: r.key.Task, Number: r.key.Number, Upstream: r.upstream, Incarnation: r.incarnation,
 		Outcome: outcome, Checkpoint: checkpoint, EndSeq: endSeq, At: p.now,
--- a/planner/status.go
+++ b/planner/status.go
@@ -24,6 +24,7 @@
 	// TicketRequesters counts the instances that can call the advice service,
 	// BusyTicketRequesters those with a request in progress.
 	TicketRequesters, BusyTicketRequesters int
+	Forecast                               ForecastStatus
 }
 
 // QueueStatus summarizes the waiting steps of a queue.
@@ -45,7 +46,7 @@
 
 // Status returns the current status.
 func (p *Planner) Status() Status {
-	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Queues: map[unit.Queue]*QueueStatus{}}
+	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Forecast: p.forecastStatus, Queues: map[unit.Queue]*QueueStatus{}}
 	for _, u := range p.upstreams {
 		if u.isSchedulable() {
 			s.Schedulable++
--- a/planner/step.go
+++ b/planner/step.go
@@ -38,9 +38,6 @@
 	// search for victims again.
 	claim       *claim
 	nextClaimAt clock.Millis
-	// timings are the running times of the step's completed tasks, until all tasks are
-	// done.
-	timings []timing
 }
 
 // rank orders the waiting steps.
@@ -287,5 +284,6 @@
 		delete(p.steps, s.id)
 	}
 	delete(p.stepsByJob, id)
+	delete(p.forecasts, id)
 	delete(p.nextOccurrence, id)
 }
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -73,6 +73,9 @@
 	// liveRuns are the runs of UpstreamState.Runs, in the order of their starts.
 	liveRuns []*run
 	health   health
+	// slowness is the cached result of Planner.slowness, as of slownessAt.
+	slowness   float64
+	slownessAt clock.Millis
 }
 
 func newUpstream(state *keeper.UpstreamState, c Config) *upstream {
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -32,11 +32,9 @@
 	// Count is the number of tasks of the step.
 	Count int
 	// Gang is set if the tasks of the step start and end together.
-	Gang bool
-	// Repeated is set if the step runs more than once.
-	Repeated bool
-	Image    string
-	Need     unit.Resources
+	Gang  bool
+	Image string
+	Need  unit.Resources
 	// Estimate is the client's estimate, or 0.
 	Estimate clock.Millis
 }
@@ -59,7 +57,7 @@
 const (
 	maxQueues    = 256
 	maxEffects   = 4096
-	maxSteps     = 2048
+	maxSteps     = 8192
 	maxUpstreams = 8192
 	// maxTimings bounds the ended tasks of a step whose upstreams are compared at once.
 	maxTimings = 32
@@ -343,17 +341,9 @@
 // once enough tasks have ended.
 func (p *Predictor) learnStep(q *queue, o *Observation, step normal, e *evidence, y, weight float64) {
 	t := &o.Task
-	if t.Gang && !o.Censored && !t.Repeated {
-		p.steps.Remove(t.Step)
-		return
-	}
 	within := q.withinVariance()
-	if t.Count == 1 && !t.Repeated && !o.Censored {
-		p.steps.Remove(t.Step)
-		if !t.Gang {
-			p.learnSpeed(o.Upstream, y-step.mean, step.variance+within, o.At)
-		}
-		return
+	if t.Count == 1 && !t.Gang && !o.Censored {
+		p.learnSpeed(o.Upstream, y-step.mean, step.variance+within, o.At)
 	}
 	if e == nil {
 		e = &evidence{firstAt: o.At}
@@ -382,9 +372,6 @@
 		p.compareUpstreams(e.timings, within, o.At)
 		e.timings = nil
 	}
-	if complete && !t.Repeated {
-		p.steps.Remove(t.Step)
-	}
 }
 
 // minInformation is the least information of a censored run that is learned from, relative
