driver: the forecasts in the log and the metrics

Nothing showed how good the predicted times are, nor from what a decision was forecast.

The entry of a start has the median, the 0.9 quantile, the client's estimate, the upstream's slowness and the weights of the evidence. The status line and gauges have the error of the median, that of the estimate, and the parts of the ends before the median and the 0.9 quantile.

--- a/driver/session.go
+++ b/driver/session.go
@@ -236,15 +236,21 @@
 // executes their effects once the lease is valid. It returns false if the session must end.
 func (s *session) commit(outputs []output) bool {
 	var commands []keeper.Command
+	forecasts := map[keeper.RunKey]*planner.RunForecast{}
 	for _, o := range outputs {
 		commands = append(commands, o.commands...)
+		for _, e := range o.effects {
+			if start, ok := e.(planner.Start); ok {
+				forecasts[start.Run] = start.Forecast
+			}
+		}
 	}
 	entry := keeper.EncodeBatch(commands)
 	if len(entry) > replicator.MaxCommandBytes && len(outputs) > 1 {
 		half := len(outputs) / 2
 		return s.commit(outputs[:half]) && s.commit(outputs[half:])
 	}
-	if len(commands) > 0 && !s.propose(commands, entry) || !s.awaitLease() {
+	if len(commands) > 0 && !s.propose(commands, entry, forecasts) || !s.awaitLease() {
 		return false
 	}
 	for _, o := range outputs {
@@ -258,14 +264,15 @@
 	return true
 }
 
-// propose commits commands, which entry encodes. If the entry is too large, it commits them
+// propose commits commands, which entry encodes. forecasts are those of the runs that they
+// start, for the log. If the entry is too large, it commits them
 // in several entries. A leader that fails in between leaves a part of them, which is safe:
 // no effect of theirs has been executed, and its successor handles runs that were never
 // started and gangs that lack members.
-func (s *session) propose(commands []keeper.Command, entry []byte) bool {
+func (s *session) propose(commands []keeper.Command, entry []byte, forecasts map[keeper.RunKey]*planner.RunForecast) bool {
 	if len(entry) > replicator.MaxCommandBytes && len(commands) > 1 {
 		first, second := commands[:len(commands)/2], commands[len(commands)/2:]
-		return s.propose(first, keeper.EncodeBatch(first)) && s.propose(second, keeper.EncodeBatch(second))
+		return s.propose(first, keeper.EncodeBatch(first), forecasts) && s.propose(second, keeper.EncodeBatch(second), forecasts)
 	}
 	started := time.Now()
 	if _, err := s.d.cfg.Log.Propose(s.ctx, entry); err != nil {
@@ -274,7 +281,7 @@
 		return false
 	}
 	s.d.metrics.commit.RecordDuration(time.Since(started))
-	s.logCommands(commands)
+	s.logCommands(commands, forecasts)
 	return true
 }
 
--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,10 @@
 	request, commit, start, advice   tally.Histogram
 	polls, jobsAccepted, runsStarted tally.Counter
 	runsEnded                        map[keeper.RunOutcome]tally.Counter
+	// forecastError and estimateError are the mean errors of the logarithms of running
+	// times; forecastMedian and forecastHigh the parts of the runs that ended before their
+	// median and 0.9 quantile, which should be 0.5 and 0.9.
+	forecastError, estimateError, forecastMedian, forecastHigh tally.Gauge
 }
 
 // buckets range from one millisecond, the time of a local answer, to a few seconds.
@@ -35,6 +40,11 @@
 		jobsAccepted: s.Counter("jobs_accepted"),
 		runsStarted:  s.Counter("runs_started"),
 		runsEnded:    map[keeper.RunOutcome]tally.Counter{},
+
+		forecastError:  s.Gauge("forecast_log_error"),
+		estimateError:  s.Gauge("estimate_log_error"),
+		forecastMedian: s.Tagged(map[string]string{"quantile": "0.5"}).Gauge("forecast_earlier"),
+		forecastHigh:   s.Tagged(map[string]string{"quantile": "0.9"}).Gauge("forecast_earlier"),
 	}
 	for outcome, name := range outcomeNames {
 		m.runsEnded[outcome] = s.Tagged(map[string]string{"how": name}).Counter("runs_ended")
@@ -60,8 +70,9 @@
 	fieldIncarnation = "Life"
 )
 
-// logCommands logs committed commands and counts them in the metrics.
-func (s *session) logCommands(commands []keeper.Command) {
+// logCommands logs committed commands and counts them in the metrics. forecasts are those of
+// the runs that they start.
+func (s *session) logCommands(commands []keeper.Command, forecasts map[keeper.RunKey]*planner.RunForecast) {
 	for _, c := range commands {
 		switch c := c.(type) {
 		case keeper.AcceptJob:
@@ -75,7 +86,7 @@
 			s.d.metrics.runsStarted.Inc(1)
 			s.log.WithFields(logrus.Fields{
 				logger.FieldTask: c.Task.String(), fieldRun: c.Number, logger.FieldUpstream: c.Upstream, fieldIncarnation: c.Incarnation,
-			}).Info("starting a run")
+			}).WithFields(forecastFields(forecasts[keeper.RunKey{Task: c.Task, Number: c.Number}])).Info("starting a run")
 		case keeper.EndRun:
 			s.d.metrics.runsEnded[c.Outcome].Inc(1)
 			s.log.WithFields(logrus.Fields{
@@ -93,12 +104,39 @@
 	}
 }
 
+// forecastFields returns the log fields of a run's forecast and of what it is based on.
+func forecastFields(f *planner.RunForecast) logrus.Fields {
+	if f == nil {
+		return nil
+	}
+	return logrus.Fields{
+		"MedianMillis": int64(f.Median), "HighMillis": int64(f.High), "EstimateMillis": int64(f.Estimate),
+		"Slowness": round(f.Slowness), "Weight": round(f.Weight), "Siblings": round(f.Siblings),
+	}
+}
+
+// round rounds to two decimal places.
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
+// reportForecast updates the metrics of the forecasts.
+func (m *metrics) reportForecast(f planner.ForecastStatus) {
+	if f.Ends == 0 {
+		return
+	}
+	m.forecastError.Update(f.Error)
+	m.estimateError.Update(f.EstimateError)
+	m.forecastMedian.Update(float64(f.EarlierThanMedian) / float64(f.Ends))
+	m.forecastHigh.Update(float64(f.EarlierThanHigh) / float64(f.Ends))
+}
+
 // logStatus logs the status of the domain and that of each queue with a backlog.
 func (s *session) logStatus(st planner.Status) {
+	s.d.metrics.reportForecast(st.Forecast)
 	s.log.WithFields(logrus.Fields{
 		"Upstreams": st.Upstreams, "Usable": st.Schedulable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
 		"Runs": st.Runs, "Stopping": st.Stopping, "BacklogBytes": int64(st.BacklogBytes), "Advisers": st.TicketRequesters, "BusyAdvisers": st.BusyTicketRequesters,
-		"OverShare": st.OverShareAccounts,
+		"OverShare": st.OverShareAccounts, "ForecastEnds": st.Forecast.Ends, "ForecastEarlierThanMedian": st.Forecast.EarlierThanMedian,
+		"ForecastEarlierThanHigh": st.Forecast.EarlierThanHigh, "ForecastLogError": round(st.Forecast.Error), "EstimateLogError": round(st.Forecast.EstimateError),
 	}).Info("domain status")
 	for name, q := range st.Queues {
 		s.log.WithFields(logrus.Fields{
