planner: gangs avoid a mix of upstream speeds

A gang is as slow as its slowest member, but took the fastest upstreams beside slow ones, on which it gains nothing.

Among the candidates of a gang, those are now preferred whose speed is nearest to that of the slowest member it can't do without.

--- a/planner/candidate.go
+++ b/planner/candidate.go
@@ -154,6 +154,28 @@
 	return time + leftoverScore(left.CPU, u.Capacity.CPU) + leftoverScore(left.Memory, u.Capacity.Memory)
 }
 
+// levelWeight is the weight of the time by which an upstream is faster than the slowest
+// member of a gang. With 2, upstreams rank by how near they are to the slowest one.
+const levelWeight = 2
+
+// levelCandidates returns the best candidates for n tasks that end together. Where the best
+// ones include a slow upstream, the others needn't be faster: fast upstreams are left to
+// steps that gain by them.
+func (p *Planner) levelCandidates(list []candidate, n int) []candidate {
+	slowest, left := 0.0, n
+	for _, c := range smallest(list, n, candidate.compare) {
+		if left <= 0 {
+			break
+		}
+		slowest = max(slowest, p.slowness(c.upstream))
+		left -= c.count
+	}
+	for i := range list {
+		list[i].score += levelWeight * max(slowest-p.slowness(list[i].upstream), 0)
+	}
+	return smallest(list, n, candidate.compare)
+}
+
 // packingWeight is the weight of an upstream's whole capacity left over, relative to the
 // running time of a task on an upstream of usual speed.
 const packingWeight = 0.1
--- a/planner/forecast_test.go
+++ b/planner/forecast_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -49,42 +50,74 @@
 	is.Equal(successor.Slowness("u0002"), l.planner.Slowness("u0002"))
 }
 
-// TestTaskGoesToTheFasterUpstream guards against a placement that doesn't know the speeds:
-// once tasks have run, a fast upstream must be known as such and be chosen for a task.
-func TestTaskGoesToTheFasterUpstream(t *testing.T) {
-	is := is.New(t)
-	queues := smallQueues()
-	for i := range queues {
-		queues[i].RequiresTicket = false
-		queues[i].perSecond /= 3
-	}
-	l := newVariedLoad(1, 42, 9, 64*unit.Gigabyte, queues, unlike)
-	l.run(l.now + 15*clock.Second)
-	l.submissionsEnded = true
-	l.run(l.now + 5*clock.Second)
-	var fast, slow []float64
-	for id, u := range l.upstreams {
-		if u.speed == 1.7 {
-			fast = append(fast, l.planner.Slowness(id))
-		} else {
-			slow = append(slow, l.planner.Slowness(id))
+// newLearnedPlanner returns a planner for idle upstreams of one task each on which tasks of
+// some steps have run, as its log tells. Upstream i has the speed i%len(speeds).
+func newLearnedPlanner(t *testing.T, upstreams int, speeds []float64) *planner.Planner {
+	t.Helper()
+	state := keeper.New()
+	state.Observer = planner.NewLearner()
+	state.ApplyCommand(keeper.SetConfig{Config: config(0)})
+	id := func(i int) unit.Upstream { return unit.Upstream(fmt.Sprintf("u%02d", i)) }
+	now := clock.Millis(1_000_000)
+	for n := range 5 {
+		job := keeper.JobID(fmt.Sprintf("%016x", n))
+		state.ApplyCommand(keeper.AcceptJob{ID: job, At: now, Submission: keeper.Submission{Steps: []keeper.Step{{Count: upstreams, Estimate: 2000}}}})
+		for i := range upstreams {
+			state.ApplyCommand(keeper.StartRun{Task: keeper.TaskID{Job: job, Index: i}, Number: 1, Upstream: id(i), At: now})
 		}
-	}
-	t.Logf("mean slowness of the fast upstreams %.2f, of the slow ones %.2f", mean(fast), mean(slow))
-	is.True(mean(fast) < 0.9) // the true one is 0.59
-	is.True(mean(slow) > 1.1) // the true one is 1.43
-	to := planner.Address{Host: "h", Path: "/build/" + string(jobID), APIKey: loadKey(0)}
-	l.planner.HandleRequest(l.now, planner.Submit{Address: to, ID: jobID, Submission: newSubmission(1000, 1)}, func(planner.Reply) {})
-	l.planner.Tick(l.now)
-	_, effects := l.planner.TakeOutput()
-	for _, e := range effects {
-		if s, ok := e.(planner.Start); ok {
-			is.Equal(l.upstreams[s.Target.ID].speed, 1.7)
-			is.True(s.Forecast.Slowness < mean(slow))
-			return
+		for i := range upstreams {
+			state.ApplyCommand(keeper.EndRun{
+				Task: keeper.TaskID{Job: job, Index: i}, Number: 1, Upstream: id(i), Outcome: keeper.RunDone,
+				At: now + clock.Millis(2000/speeds[i%len(speeds)]),
+			})
 		}
+		now += 4000
+	}
+	p := planner.New(planner.Config{FencingToken: 1, LeaderSince: now, MaxLease: 6000, Retention: clock.Minute}, state)
+	for i := range upstreams {
+		p.HandleReport(now, planner.Report{Seq: 1, Clock: 1, Upstream: keeper.Upstream{
+			ID: id(i), Incarnation: 1, Address: string(id(i)) + ":1", Service: service, Capacity: unit.Resources{CPU: 1000},
+		}}, func() {})
+	}
+	return p
+}
+
+// TestTasksGoToFastUpstreams guards the placement by speed. Tasks must start on the fast
+// upstreams. A gang that finds enough of them must not be held up by a slow member, and one
+// that doesn't must leave them to others. Of 42 upstreams, 14 are fast.
+func TestTasksGoToFastUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		tasks, fast int
+		gang        bool
+	}{
+		"one task":                {tasks: 1, fast: 1},
+		"a gang on fast ones":     {tasks: 10, fast: 10, gang: true},
+		"a gang that needs more":  {tasks: 20, fast: 0, gang: true},
+		"as many tasks, no gang":  {tasks: 20, fast: 14},
+		"a gang on all upstreams": {tasks: 42, fast: 14, gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newLearnedPlanner(t, 42, []float64{0.7, 0.7, 1.7})
+			is.True(p.Slowness("u02") < 0.75 && p.Slowness("u00") > 1.1) // the true ones are 0.59 and 1.43
+			submission := newSubmission(1000, c.tasks)
+			submission.Steps[0].Gang = c.gang
+			p.HandleRequest(1_030_000, planner.Submit{Address: address(jobID), ID: jobID, Submission: submission}, func(planner.Reply) {})
+			p.Tick(1_030_000)
+			_, effects := p.TakeOutput()
+			starts, fast := 0, 0
+			for _, e := range effects {
+				if s, ok := e.(planner.Start); ok {
+					starts++
+					if s.Forecast.Slowness < 1 {
+						fast++
+					}
+				}
+			}
+			is.Equal(starts, c.tasks)
+			is.Equal(fast, c.fast)
+		})
 	}
-	t.Fatal("the task didn't start")
 }
 
 // TestRunIsOverdueByItsSiblings guards against a stalled run that holds up its job for long
--- a/planner/gang.go
+++ b/planner/gang.go
@@ -62,7 +62,7 @@
 	}
 	list := p.candidates(s)
 	if !s.spec.SameRack {
-		list = smallest(list, len(tasks), candidate.compare)
+		list = p.levelCandidates(list, len(tasks))
 	} else {
 		slices.SortFunc(list, candidate.compare)
 	}
