--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -34,8 +34,10 @@
 	return list
 }
 
-// Slowness returns the expected time of tasks on an upstream, relative to the usual time.
-func (p *Planner) Slowness(id unit.Upstream) float64 { return p.slowness(p.upstreams[id]) }
+// Slowness returns the expected time of tasks on an upstream now, relative to the usual time.
+func (p *Planner) Slowness(id unit.Upstream) float64 {
+	return p.predictor.Slowness(id, p.now).Factor()
+}
 
 // MaxBacklog exports maxBacklog.
 const MaxBacklog = maxBacklog
--- a/predictor/predictor.go
+++ b/predictor/predictor.go
@@ -52,15 +52,15 @@
 	Censored bool
 }
 
-// Bounds of the memory: together some MB. An entry that was not observed for the longest
+// Bounds of the memory: together 7 MB when all are reached. An entry that was not observed for the longest
 // time is dropped first.
 const (
 	maxQueues    = 256
 	maxEffects   = 4096
-	maxSteps     = 8192
+	maxSteps     = 4096
 	maxUpstreams = 8192
 	// maxTimings bounds the ended tasks of a step whose upstreams are compared at once.
-	maxTimings = 32
+	maxTimings = 16
 )
 
 // Standard deviations and weights before any observation. The spreads are those of
