planner: cheaper forecasts

Each end dropped the cached forecasts of its job, and each forecast of a gang's run looked up the speeds of all members in the predictor.

--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -22,6 +22,9 @@
 // Forecasts returns the quantile of the forecast of each step of the jobs that haven't ended.
 func (p *Planner) Forecasts(q float64) map[string]clock.Millis {
 	list := map[string]clock.Millis{}
+	for _, u := range p.byID {
+		u.slownessAt = 0
+	}
 	for id, j := range p.state.Jobs {
 		if j.Phase.IsFinal() {
 			continue
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -6,6 +6,7 @@
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/predictor"
+	"github.com/chervilvane/chervilvane/unit"
 )
 
 // highQuantile is the quantile that stands for a late end.
@@ -55,7 +56,7 @@
 	for _, t := range o.Steps[index].Tasks {
 		for _, l := range t.LiveRuns {
 			if l.Number == 1 && len(list) < maxSiblings {
-				list = append(list, predictor.Running{Elapsed: p.now - l.StartedAt, Slowness: p.predictor.Slowness(l.Upstream, p.now)})
+				list = append(list, predictor.Running{Elapsed: p.now - l.StartedAt, Slowness: p.slownessOf(l.Upstream)})
 			}
 		}
 	}
@@ -67,8 +68,19 @@
 // time.
 func (p *Planner) slowness(u *upstream) float64 {
 	if p.now-u.slownessAt >= forecastTTL || u.slownessAt == 0 {
-		u.slowness, u.slownessAt = p.predictor.Slowness(u.ID, p.now).Factor(), p.now
+		u.slowness, u.slownessAt = p.predictor.Slowness(u.ID, p.now), p.now
+		u.slownessFactor = u.slowness.Factor()
 	}
+	return u.slownessFactor
+}
+
+// slownessOf returns what is known of an upstream's speed.
+func (p *Planner) slownessOf(id unit.Upstream) predictor.Slowness {
+	u := p.upstreams[id]
+	if u == nil {
+		return p.predictor.Slowness(id, p.now)
+	}
+	p.slowness(u)
 	return u.slowness
 }
 
@@ -88,11 +100,11 @@
 
 // forecastStart returns the forecast of a task of a step on an upstream.
 func (p *Planner) forecastStart(s *step, u *upstream) *RunForecast {
-	slowness := p.predictor.Slowness(u.ID, p.now)
+	slowness := p.slownessOf(u.ID)
 	f := p.forecastOf(s.job).steps[s.id.Step].On(slowness)
 	return &RunForecast{
 		Median: f.Median(), High: f.Quantile(highQuantile), Estimate: s.spec.Estimate,
-		Slowness: slowness.Factor(), Weight: f.Weight, Siblings: f.Siblings,
+		Slowness: u.slownessFactor, Weight: f.Weight, Siblings: f.Siblings,
 	}
 }
 
@@ -102,12 +114,12 @@
 	if r.spec == nil || r.spec.LongRunning || r.job.Phase.IsFinal() {
 		return predictor.Forecast{}, false
 	}
-	slowness := p.predictor.Slowness(r.upstream, p.now)
+	slowness := p.slownessOf(r.upstream)
 	if _, st, _ := p.state.LookupTask(r.key.Task); r.spec.Gang && st != nil {
 		for _, t := range st.Tasks {
 			for _, l := range t.LiveRuns {
 				if l.Number == r.key.Number {
-					slowness = slowness.Slower(p.predictor.Slowness(l.Upstream, p.now))
+					slowness = slowness.Slower(p.slownessOf(l.Upstream))
 				}
 			}
 		}
@@ -248,18 +260,21 @@
 	return l
 }
 
-// invalidateForecasts lets the overdue time of the live runs of a step be determined anew.
+// invalidateForecasts lets the forecasts of a step and the overdue times of its live runs be
+// determined anew, after a task of it has ended.
 func (p *Planner) invalidateForecasts(id keeper.StepID) {
 	j := p.state.Jobs[id.Job]
 	if j == nil || j.Phase.IsFinal() || j.Occurrences[id.Occurrence] == nil {
 		return
 	}
-	delete(p.forecasts, id.Job)
 	st := j.Occurrences[id.Occurrence].Steps[id.Step]
 	// The forecast changes most with the first ends.
 	if st.DoneTasks&(st.DoneTasks-1) != 0 {
 		return
 	}
+	if f := p.forecasts[id.Job]; f != nil {
+		f.at = 0
+	}
 	for x, t := range st.Tasks {
 		for _, l := range t.LiveRuns {
 			if r := p.runs[keeper.RunKey{Task: id.TaskID(x), Number: l.Number}]; r != nil && p.now < r.nextCheckAt && !r.overdue {
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/predictor"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -73,9 +74,11 @@
 	// liveRuns are the runs of UpstreamState.Runs, in the order of their starts.
 	liveRuns []*run
 	health   health
-	// slowness is the cached result of Planner.slowness, as of slownessAt.
-	slowness   float64
-	slownessAt clock.Millis
+	// slowness and slownessFactor are what the predictor knows of the speed, as of
+	// slownessAt.
+	slowness       predictor.Slowness
+	slownessFactor float64
+	slownessAt     clock.Millis
 }
 
 func newUpstream(state *keeper.UpstreamState, c Config) *upstream {
