--- a/planner/entitlement.go
+++ b/planner/entitlement.go
@@ -104,13 +104,14 @@
 
 // refusesSurplus reports whether a submission is refused since it is surplus and can't end
 // in time: what waits already takes all capacity for longer than the job's objective.
-func (p *Planner) refusesSurplus(account *keeper.Account, queue keeper.Queue, submission *keeper.Submission) bool {
+func (p *Planner) refusesSurplus(account *keeper.Account, id keeper.JobID, queue keeper.Queue, submission *keeper.Submission) bool {
 	if queue.Priority <= p.urgent.priority || !p.entitlements.exceeds(account, p.now) || submission.Repeat > 0 ||
 		slices.ContainsFunc(submission.Steps, func(s keeper.Step) bool { return s.LongRunning }) {
 		return false
 	}
-	j := &keeper.Job{Queue: queue, Submission: *submission}
+	j := &keeper.Job{ID: id, Account: account.Name, Queue: queue, Submission: *submission}
 	chain := p.criticalPath(j, -1)
+	delete(p.forecasts, id)
 	slack := queue.TargetLatency + clock.Millis(queue.Stretch*float64(chain)) - chain
 	return p.shares.drainTime > slack
 }
--- a/planner/evacuate.go
+++ b/planner/evacuate.go
@@ -48,8 +48,6 @@
 	// run with a checkpoint moves. A move costs up to preemptionCost, and predictions may be
 	// off by a factor.
 	longRemainingFactor = 2
-	// minTellingPercent is the progress from which on a run's own pace predicts its end.
-	minTellingPercent = 10
 	// maxMigrations limits the tasks and gangs that move at once. Each move takes a restore,
 	// reserved capacity, and for some queues a ticket request.
 	maxMigrations = 8
@@ -264,15 +262,12 @@
 	return 1
 }
 
-// remainingTime returns the predicted time to the end of a run: by its pace, if it has run
-// from the beginning and has come far enough, else by the forecast and its progress.
+// remainingTime returns the predicted time to the end of a run.
 func (p *Planner) remainingTime(r *run) clock.Millis {
-	elapsed, percent := p.now-max(r.ackedAt, r.recordedAt), clock.Millis(min(max(r.percent, 0), 100))
-	if percent >= minTellingPercent && !r.resumed && !r.inherited {
-		return elapsed * (100 - percent) / percent
+	if r.spec.LongRunning {
+		return clock.Day
 	}
-	predicted := p.predictRun(r)
-	return min(predicted-elapsed, predicted*(100-percent)/100)
+	return p.remaining(r)
 }
 
 // migrate stops a run, or all runs of its gang, if there is capacity for them in other zones
--- a/planner/job.go
+++ b/planner/job.go
@@ -105,7 +105,7 @@
 	if why := p.feasible(client, route.Queue.Service, &r.Submission); why != "" {
 		return Reply{Code: Overloaded, Message: why, RetryAfter: spreadRetry(r.ID, retryInfeasible)}
 	}
-	if p.refusesSurplus(client, route.Queue, &r.Submission) {
+	if p.refusesSurplus(client, r.ID, route.Queue, &r.Submission) {
 		return Reply{Code: Overloaded, Message: "the account exceeds its weight, and the job can't end in time", RetryAfter: spreadRetry(r.ID, retrySurplus)}
 	}
 	p.entitlements.add(client, r.ID, p.now)
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -1,9 +1,8 @@
 package planner_test
 
 import (
+	"flag"
 	"math"
-	"os"
-	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -28,13 +27,14 @@
 	// floodFactor times its usual rate for a while.
 	unevenAccounts bool
 	floodFactor    float64
+	variety        variety
 }
 
 // The users' deployments without an eighth of their upstreams.
 var replays = map[string]replay{
-	"small": {42, 9, 64 * unit.Gigabyte, smallQueues, nil, false, 1},
-	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false, 1},
-	"large": {960, 147, 64 * unit.Gigabyte, largeQueues, nil, false, 1},
+	"small": {42, 9, 64 * unit.Gigabyte, smallQueues, nil, false, 1, variety{}},
+	"grown": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false, 1, variety{}},
+	"large": {960, 147, 64 * unit.Gigabyte, largeQueues, nil, false, 1, variety{}},
 	// A fifth of the upstreams is missing, and there are a quarter more jobs.
 	"overload": {870, 147, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -42,9 +42,9 @@
 			queues[i].perSecond *= 1.25
 		}
 		return queues
-	}, nil, false, 1},
+	}, nil, false, 1, variety{}},
 	// Callers who compete for an almost full domain, in bursts that exceed it.
-	"competing": {350, 32, 64 * unit.Gigabyte, competingQueues, overlappingBursts, true, 6.7},
+	"competing": {350, 32, 64 * unit.Gigabyte, competingQueues, overlappingBursts, true, 6.7, alike},
 	// An eighth of the large deployment, for the tests.
 	"eighth": {120, 18, 64 * unit.Gigabyte, func() []loadQueue {
 		queues := largeQueues()
@@ -52,9 +52,21 @@
 			queues[i].perSecond /= 8
 		}
 		return queues
-	}, nil, false, 1},
+	}, nil, false, 1, variety{}},
+	// The users' deployments with unlike upstreams, on which tasks of a step differ.
+	"smallUnlike": {42, 9, 64 * unit.Gigabyte, smallQueues, nil, false, 1, unlike},
+	"grownAlike":  {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false, 1, alike},
+	"grownUnlike": {300, loadRequesters, 128 * unit.Gigabyte, grownQueues, nil, false, 1, unlike},
 }
 
+var (
+	unlike = variety{speeds: []float64{0.7, 0.7, 1.7}, within: 0.25, truePercent: true}
+	alike  = variety{speeds: []float64{0.8, 1, 1.25}, within: 0.2, truePercent: true}
+)
+
+// replaySeed is the seed of BenchmarkReplay.
+var replaySeed = flag.Uint64("replay.seed", 1, "seed of BenchmarkReplay")
+
 const (
 	// replayRestore is how much longer a start from a checkpoint takes on the users'
 	// upstreams.
@@ -104,7 +116,7 @@
 			change(&queues[i])
 		}
 	}
-	l := newLoad(seed, r.upstreams, r.requesters, r.memory, queues)
+	l := newVariedLoad(seed, r.upstreams, r.requesters, r.memory, queues, r.variety)
 	began := l.now
 	l.restoreTime = replayRestore
 	rate := r.rate
@@ -253,7 +265,7 @@
 		for policy, change := range map[string]func(q *loadQueue){"now": nil, "nobodyYields": neverPreempt} {
 			b.Run(name+"/"+policy, func(b *testing.B) {
 				for b.Loop() {
-					l := r.run(replaySeed(), change)
+					l := r.run(*replaySeed, change)
 					all, queues := l.earned()
 					b.ReportMetric(all, "earned")
 					for i, q := range l.queues {
@@ -365,8 +377,3 @@
 	}
 	l.entitled = func(account int) float64 { return entitlementFactor * sizes[account] * perSecond }
 }
-
-func replaySeed() uint64 {
-	n, _ := strconv.ParseUint(os.Getenv("REPLAY_SEED"), 10, 64)
-	return max(n, 1)
-}
--- a/planner/requester.go
+++ b/planner/requester.go
@@ -113,10 +113,14 @@
 func (p *Planner) expectedCapacity(s *step, u *upstream) unit.Resources {
 	expected := u.freeCapacity().Sub(p.urgentReserve(s, u))
 	for _, r := range u.liveRuns {
-		endsSoon := r.predicted > 0 && r.recordedAt+r.predicted <= p.now+capacityHorizon
-		if r.stopRequested || endsSoon || p.mayPreempt(s) && p.isPreemptible(r, s) {
+		if r.stopRequested || p.endsWithin(r, capacityHorizon) || p.mayPreempt(s) && p.isPreemptible(r, s) {
 			expected = expected.Add(r.need)
 		}
 	}
 	return expected
 }
+
+// endsWithin reports whether a run is likely to end by itself within a time.
+func (p *Planner) endsWithin(r *run, within clock.Millis) bool {
+	return r.spec != nil && !r.spec.LongRunning && !r.job.Phase.IsFinal() && p.remaining(r) <= within
+}
--- a/planner/requester_test.go
+++ b/planner/requester_test.go
@@ -104,7 +104,11 @@
 			p.HandleReport(1000, Report{Seq: 1, Clock: 1, Upstream: keeper.Upstream{ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Capacity: unit.Resources{CPU: 2000}}}, func() {})
 			u := p.upstreams["u"]
 			u.Used = unit.Resources{CPU: 1000}
-			u.liveRuns = []*run{{need: unit.Resources{CPU: 1000}, recordedAt: 1000, predicted: c.predicted, stopRequested: c.stopping}}
+			r := &run{need: unit.Resources{CPU: 1000}, recordedAt: 1000, stopRequested: c.stopping, endForecast: 1000 + c.predicted, endForecastAt: 1000}
+			if c.predicted > 0 {
+				r.spec, r.job = &keeper.Step{}, &keeper.Job{}
+			}
+			u.liveRuns = []*run{r}
 			j := &keeper.Job{ID: "j", Queue: keeper.Queue{Name: "q", Service: "s", RequiresTicket: true}, Submission: keeper.Submission{Steps: []keeper.Step{{Count: c.count, Need: unit.Resources{CPU: 1000}}}}}
 			s := p.newStep(j, keeper.StepID{Job: "j"})
 			g := &grant{upstream: u}
--- a/planner/status.go
+++ b/planner/status.go
@@ -28,6 +28,8 @@
 	// EvacuatedZones are sorted. EvacuatingRuns counts the live runs there.
 	EvacuatedZones []unit.AvailabilityZone
 	EvacuatingRuns int
+	// Forecast tells how good the forecasts were.
+	Forecast ForecastStatus
 }
 
 // QueueStatus summarizes the waiting steps of a queue.
@@ -49,7 +51,7 @@
 
 // Status returns the current status.
 func (p *Planner) Status() Status {
-	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Queues: map[unit.Queue]*QueueStatus{}}
+	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Forecast: p.forecastStatus, Queues: map[unit.Queue]*QueueStatus{}}
 	for _, u := range p.upstreams {
 		if p.takesTasks(u) {
 			s.Schedulable++
