instance: bound what others make a mesh hold

Cause: a frame was allocated in full by the length in its first four bytes; 600 connections that name 8 MB each and send 512 KB took a process of 64 MB to 345 MB. Connections and the time of a call had no bound, and an accept without a free descriptor ended the mesh and so the process.

Change: frames are read as they arrive. Their memory, that of calls in progress and of replies that wait to be sent is taken from a budget, divided by remote address, on connections that others dialled; beyond it the connection is closed. Accepted connections are bounded, also those of QUIC amid their handshake. A call's time is bounded to an hour, as its sender does. A failed accept for lack of descriptors is repeated. The wire format is unchanged.

readTCPFrame takes one more argument, which its test passes as nil.

--- a/instance/mesh.go
+++ b/instance/mesh.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,9 +88,12 @@
 	// Recheck is the time between two checks of the connected peers'
 	// certificates; 0 means DefaultRecheck.
 	Recheck clock.Millis
-	Logger  logrus.FieldLogger
-	Metrics tally.Scope
-	Tracer  trace.Tracer
+	// MaxConnections bounds the connections that others open, those amid their handshake included;
+	// 0 means no bound.
+	MaxConnections int
+	Logger         logrus.FieldLogger
+	Metrics        tally.Scope
+	Tracer         trace.Tracer
 }
 
 // Mesh connects an instance to its peers over QUIC.
@@ -109,10 +113,28 @@
 
 	mu      sync.Mutex
 	started bool
+
+	// accepted is the number of connections that others have opened.
+	accepted atomic.Int64
 }
 
 var _ Caller = (*Mesh)(nil)
 
+// errTooManyConnections is why a connection is refused before its handshake.
+var errTooManyConnections = errors.New("too many connections of the mesh")
+
+// admit counts a connection that another opens, until its context ends. It returns an error at
+// the bound: a handshake takes memory before the certificate of the other side is known.
+func (m *Mesh) admit(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	if m.cfg.MaxConnections > 0 && m.accepted.Add(1) > int64(m.cfg.MaxConnections) {
+		m.accepted.Add(-1)
+		m.metrics.refusedConnections.Inc(1)
+		return nil, errTooManyConnections
+	}
+	context.AfterFunc(ctx, func() { m.accepted.Add(-1) })
+	return ctx, nil
+}
+
 // New returns a Mesh that is bound to its address. The caller then adds the
 // handlers with Handle and calls Run, or Close to release the address.
 func New(cfg Config) (*Mesh, error) {
@@ -145,6 +167,7 @@
 		peers:     map[unit.Instance]*peer{},
 		done:      make(chan struct{}),
 	}
+	m.transport.ConnContext = m.admit
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	for id, address := range cfg.Peers {
 		if id != cfg.Self {
@@ -266,6 +289,9 @@
 // metrics holds the counters of a mesh.
 type metrics struct {
 	calls, callFailures, messages, messagesDropped, dialFailures, refusedPeers tally.Counter
+	// refusedConnections counts connections beyond the bound, refusedFrames those that were
+	// closed since there was no memory left for their frames.
+	refusedConnections, refusedFrames tally.Counter
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -277,5 +303,8 @@
 		messagesDropped: s.Counter("notes_dropped"),
 		dialFailures:    s.Counter("dial_failures"),
 		refusedPeers:    s.Counter("refused_peers"),
+
+		refusedConnections: s.Counter("refused_connections"),
+		refusedFrames:      s.Counter("refused_frames"),
 	}
 }
--- a/instance/tcp.go
+++ b/instance/tcp.go
@@ -50,8 +50,13 @@
 	// differs from the bound address, connections to peers are made from the
 	// bound IP, so that a proxy between the instances can distinguish them.
 	AdvertiseAddress string
-	Logger           logrus.FieldLogger
-	Metrics          tally.Scope
+	// MaxBytes bounds the memory of received frames, of calls in progress and of replies that wait
+	// to be sent, on connections that others dialled; MaxConnections bounds these connections. 0
+	// means no bound.
+	MaxBytes       unit.Bytes
+	MaxConnections int
+	Logger         logrus.FieldLogger
+	Metrics        tally.Scope
 }
 
 // TCPMesh is a mesh over plain TCP, for a closed network in which instances have no
@@ -75,6 +80,8 @@
 	peers map[unit.Instance]*tcpPeer
 	// accepted holds the open connections that peers have dialled.
 	accepted map[*tcpConn]struct{}
+
+	admission tcpAdmission
 }
 
 var _ Caller = (*TCPMesh)(nil)
@@ -98,6 +105,7 @@
 		peers:    map[unit.Instance]*tcpPeer{},
 		accepted: map[*tcpConn]struct{}{},
 	}
+	t.admission.init(cfg)
 	t.ctx, t.stop = context.WithCancel(context.Background())
 	return t, nil
 }
@@ -143,8 +151,19 @@
 			if t.ctx.Err() != nil {
 				return nil
 			}
+			if isTemporary(err) {
+				// The process has no descriptor left, or the other side gave up. Neither ends
+				// the mesh.
+				t.metrics.refusedConnections.Inc(1)
+				_ = clock.Sleep(t.ctx, acceptDelay)
+				continue
+			}
 			return errors.Wrap(err, "accepting connections of the mesh")
 		}
+		closed, ok := t.admitConn(c)
+		if !ok {
+			continue
+		}
 		conn := t.newConn(c, "")
 		t.mu.Lock()
 		t.accepted[conn] = struct{}{}
@@ -153,6 +172,7 @@
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			delete(t.accepted, conn)
+			closed()
 		})
 	}
 }
--- a/instance/tcpconn.go
+++ b/instance/tcpconn.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/admitter"
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -26,6 +28,8 @@
 	dialledPeer unit.Instance
 	// from is the name of the peer that is passed to handlers.
 	from unit.Instance
+	// holder is on whose account the connection takes memory.
+	holder admitter.Holder
 
 	// done is closed when the connection is.
 	done chan struct{}
@@ -33,8 +37,10 @@
 	writeReady chan struct{}
 
 	mu sync.Mutex
-	// queue holds the encoded frames that are not yet written.
-	queue []byte
+	// queue holds the encoded frames that are not yet written, queued what they take of the memory
+	// of the mesh.
+	queue  []byte
+	queued admitter.Request
 	// pending holds a channel for the reply of each call in progress, by its id.
 	pending    map[uint64]chan tcpFrame
 	lastCallID uint64
@@ -48,8 +54,9 @@
 	if from == "" {
 		from = unit.Instance(c.RemoteAddr().String())
 	}
+	h := holder(c)
 	return &tcpConn{
-		mesh: t, conn: c, dialledPeer: dialled, from: from,
+		mesh: t, conn: c, dialledPeer: dialled, from: from, holder: h, queued: admitter.Request{Holder: h},
 		done: make(chan struct{}), writeReady: make(chan struct{}, 1),
 		pending: map[uint64]chan tcpFrame{}, lastRead: time.Now(),
 	}
@@ -90,6 +97,8 @@
 	close(c.done)
 	_ = c.conn.Close()
 	c.pending = nil
+	c.queue = nil
+	c.release(&c.queued)
 }
 
 func (c *tcpConn) cause() error {
@@ -106,6 +115,9 @@
 	if c.err != nil || len(c.queue)+len(f.body) > maxConnQueueBytes {
 		return false
 	}
+	if !c.acquire(&c.queued, unit.Bytes(headerBytes+len(f.method)+len(f.body))) {
+		return false
+	}
 	c.queue = appendTCPFrame(c.queue, f)
 	select {
 	case c.writeReady <- struct{}{}:
@@ -125,7 +137,9 @@
 		}
 		c.mu.Lock()
 		batch := c.queue
+		held := c.queued
 		if len(batch) > 0 {
+			c.queued = admitter.Request{Holder: c.holder}
 			// The spare buffer must be used only once. Otherwise the next frames
 			// would overwrite those that are being written.
 			c.queue, spare = spare[:0], nil
@@ -134,10 +148,12 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return err
+		err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if err == nil {
+			_, err = c.conn.Write(batch)
 		}
-		if _, err := c.conn.Write(batch); err != nil {
+		c.release(&held)
+		if err != nil {
 			return err
 		}
 		if cap(batch) <= maxBatchBytes {
@@ -149,8 +165,15 @@
 func (c *tcpConn) read() error {
 	r := bufio.NewReaderSize(c.conn, readBufferBytes)
 	for {
-		f, err := readTCPFrame(r)
+		// What a frame takes is given back when it was handled.
+		held := &admitter.Request{Holder: c.holder}
+		f, err := readTCPFrame(r, func(n unit.Bytes) bool { return c.acquire(held, n) })
+		f.held = held
+		if err == nil && f.kind == kindCall && !c.acquire(held, callCost) {
+			err = errNoMemory
+		}
 		if err != nil {
+			c.release(held)
 			return err
 		}
 		c.mu.Lock()
@@ -163,9 +186,15 @@
 // handleFrame handles one received frame. It runs the handler of a one-way message
 // itself, so that messages are handled in order.
 func (c *tcpConn) handleFrame(f tcpFrame) {
+	if f.kind == kindCall {
+		c.mesh.calls.Go(func() {
+			defer c.release(f.held)
+			c.serveCall(f)
+		})
+		return
+	}
+	defer c.release(f.held)
 	switch f.kind {
-	case kindCall:
-		c.mesh.calls.Go(func() { c.serveCall(f) })
 	case kindReply:
 		c.mu.Lock()
 		replyCh := c.pending[f.id]
@@ -192,7 +221,7 @@
 		c.send(tcpFrame{kind: kindReply, id: f.id, status: statusRefused, body: []byte("no method " + string(f.method))})
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.mesh.ctx, f.timeout.Duration())
+	ctx, cancel := context.WithTimeout(c.mesh.ctx, min(f.timeout, clock.Hour).Duration())
 	defer cancel()
 	body, err := h(ctx, c.from, f.body)
 	if err != nil && ctx.Err() != nil {
--- a/instance/tcpconn_test.go
+++ b/instance/tcpconn_test.go
@@ -50,7 +50,7 @@
 				synctest.Wait()
 			}
 			for _, b := range bodies {
-				f, err := readTCPFrame(frames)
+				f, err := readTCPFrame(frames, nil)
 				is.NoErr(err)
 				is.Equal(string(f.body), b)
 			}
--- a/instance/tcpframe.go
+++ b/instance/tcpframe.go
@@ -7,7 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/clock"
+	"github.com/chervilvane/chervilvane/unit"
 )
 
 // frameKind is the kind of a frame on a TCP connection.
@@ -34,6 +36,8 @@
 	status  status
 	method  Method
 	body    []byte
+	// held is what a received frame takes of the memory of the mesh; nil if nothing.
+	held *admitter.Request
 }
 
 const (
@@ -60,8 +64,13 @@
 	return append(buf, f.body...)
 }
 
-// readTCPFrame reads the next frame.
-func readTCPFrame(r *bufio.Reader) (tcpFrame, error) {
+// firstFrameBuffer is the first size of the buffer for a frame. It grows as the frame arrives, since
+// the length that a frame names is no reason to believe that as much will follow.
+const firstFrameBuffer = 64 << 10
+
+// readTCPFrame reads the next frame. acquire is called with the growth of its buffer before that;
+// if it returns false, the frame is refused. nil means no bound.
+func readTCPFrame(r *bufio.Reader, acquire func(bytes unit.Bytes) bool) (tcpFrame, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(r, length[:]); err != nil {
 		return tcpFrame{}, err
@@ -70,9 +79,18 @@
 	if size < headerBytes || size > maxFrameBytes {
 		return tcpFrame{}, errors.Newf("a frame of %d bytes", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return tcpFrame{}, err
+	var data []byte
+	for len(data) < int(size) {
+		n := min(max(2*len(data), firstFrameBuffer), int(size))
+		if acquire != nil && !acquire(unit.Bytes(n-len(data))) {
+			return tcpFrame{}, errNoMemory
+		}
+		grown := make([]byte, n)
+		copy(grown, data)
+		if _, err := io.ReadFull(r, grown[len(data):]); err != nil {
+			return tcpFrame{}, err
+		}
+		data = grown
 	}
 	return decodeTCPFrame(data)
 }
