listener: count the growth of body buffers, keep pending bytes in pooled buffers

Cause: a buffer that doubles takes up to twice what has arrived, which wasn't counted; a crowd of pieces took a process of 64 MB to 61 MB. A body that arrived with its header needs no deadlines.

Change: a body counts twice up to 1 MB, beyond which its buffer grows by a quarter.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -110,6 +110,13 @@
 	return min(start+min(longest, atRate), last+l.BodyStall)
 }
 
+// GrowthBytes is how far the buffer for a body doubles; beyond it grows by a quarter.
+const GrowthBytes = 1 << 20
+
+// BodyBytes returns the memory of a body of which this much has arrived: its buffer is up to twice
+// as long, or the one before it is still in memory.
+func BodyBytes(received unit.Bytes) unit.Bytes { return received + min(received, GrowthBytes) }
+
 // Estimated memory of what a body decodes to, beside twice its length: an empty object in a list
 // of steps takes 230 bytes as decoded and as much again as a step of the log; an empty text or
 // number in a list takes 16, twice that while the list grows.
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -22,6 +22,9 @@
 // httpBuffer is the size of the read buffer of net/http. Longer reads go past it.
 const httpBuffer = 4096
 
+// writeDeadlineStep is how far a write deadline may be off before it is set again.
+const writeDeadlineStep = time.Second
+
 // errHeaderRefused closes a connection without a response: net/http answers no failed reads.
 var errHeaderRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("too many headers in memory")}
 
@@ -40,6 +43,10 @@
 	// headers is what the header takes that is arriving or being handled.
 	headers admitter.Request
 	pending []byte
+	// buffer holds pending; nil while nothing is pending.
+	buffer *[]byte
+	// writeDeadline is the last write deadline.
+	writeDeadline time.Time
 	// afterHeader is set from the end of a header to the end of its request. bodyLeft is how
 	// much of the body hasn't been read; negative if that isn't known.
 	afterHeader bool
@@ -99,12 +106,40 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := copy(p, c.pending)
-	if c.pending = c.pending[n:]; len(c.pending) == 0 {
-		c.pending = nil
-	}
+	c.pending = c.pending[n:]
 	return n
 }
 
+// pendingBuffers holds buffers of httpBuffer bytes: most requests have some of their body behind
+// the header, and idle connections need none.
+var pendingBuffers = sync.Pool{New: func() any {
+	b := make([]byte, httpBuffer)
+	return &b
+}}
+
+// keep puts data before what is pending. The caller must hold c.mu.
+func (c *conn) keep(data []byte) {
+	if len(data)+len(c.pending) > httpBuffer {
+		// The server has read more than its buffer holds; this doesn't happen with net/http.
+		c.pending = append(append([]byte(nil), data...), c.pending...)
+		return
+	}
+	if c.buffer == nil {
+		c.buffer, _ = pendingBuffers.Get().(*[]byte)
+	}
+	copy((*c.buffer)[len(data):], c.pending)
+	copy(*c.buffer, data)
+	c.pending = (*c.buffer)[:len(data)+len(c.pending)]
+}
+
+// dropBuffer gives the buffer back if nothing is pending. The caller must hold c.mu.
+func (c *conn) dropBuffer() {
+	if c.buffer != nil && len(c.pending) == 0 {
+		pendingBuffers.Put(c.buffer)
+		c.buffer, c.pending = nil, nil
+	}
+}
+
 // readHeader counts a part of a header. It returns how much of it to pass on, and keeps what is
 // behind the end of the header. The caller must hold c.mu.
 func (c *conn) readHeader(p []byte) int {
@@ -120,7 +155,7 @@
 			c.afterHeader, c.bodyLeft = true, -1
 			c.length += i + 1
 			if i+1 < len(p) {
-				c.pending = append(append([]byte(nil), p[i+1:]...), c.pending...)
+				c.keep(p[i+1:])
 			}
 			return i + 1
 		}
@@ -148,17 +183,20 @@
 
 // beginRequest is called when a header was read in full. length is that of the body; negative if
 // it isn't known.
-func (c *conn) beginRequest(length int64) {
+// It reports whether all of the body has arrived.
+func (c *conn) beginRequest(length int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// net/http reads a body of a declared length from what is pending first.
 	c.afterHeader, c.bodyLeft = true, length
+	return length >= 0 && length <= int64(len(c.pending))
 }
 
 // endRequest is called when the connection waits for the next request.
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	c.afterHeader, c.lines, c.length, c.lineLength = false, 0, 0, 0
+	c.dropBuffer()
 	c.mu.Unlock()
 	a := c.admission
 	now := a.cfg.Clock.Now()
@@ -193,12 +231,17 @@
 	a := c.admission
 	timeout := writeTimeout + time.Duration(len(p))*time.Second/time.Duration(a.cfg.Limits.BodyRate)
 	a.mu.Lock()
-	if !a.stopAt.IsZero() {
+	stopping := !a.stopAt.IsZero()
+	a.mu.Unlock()
+	if stopping {
 		timeout = stopTimeout
 	}
-	a.mu.Unlock()
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
-		return 0, err
+	// Only one goroutine writes. The deadline of the write before may do.
+	if d := time.Now().Add(timeout); stopping || d.Sub(c.writeDeadline).Abs() > writeDeadlineStep {
+		if err := c.Conn.SetWriteDeadline(d); err != nil {
+			return 0, err
+		}
+		c.writeDeadline = d
 	}
 	return c.Conn.Write(p)
 }
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -37,20 +37,22 @@
 	if h.policy.Holder != nil {
 		c.request.Holder, timeout = h.policy.Holder(r)
 	}
-	c.beginRequest(r.ContentLength)
+	arrived := c.beginRequest(r.ContentLength)
 	defer h.admission.release(&c.request)
 	b := &body{ReadCloser: r.Body, conn: c, control: http.NewResponseController(w), timeout: timeout}
-	if r.ContentLength == 0 {
+	if arrived {
 		c.enter(admitter.Serving)
-		b.done = true
 	} else {
 		b.began = c.now()
 		b.last = b.began
 		b.setDeadline()
+	}
+	b.arrived, b.done = arrived, r.ContentLength == 0
+	if !b.done {
 		r.Body = b
 	}
 	// A declared body that doesn't fit now is refused before any of it is read.
-	if !h.admission.acquire(&c.request, requestCost) || !h.admission.fits(&c.request, unit.Bytes(max(r.ContentLength, 0))) {
+	if !h.admission.acquire(&c.request, requestCost) || !h.admission.fits(&c.request, admitter.BodyBytes(unit.Bytes(max(r.ContentLength, 0)))) {
 		h.admission.noteRefused(c)
 		RefuseHeader(w)
 		h.policy.Refuse(w)
@@ -114,6 +116,8 @@
 	// must come.
 	began, last, deadline clock.Millis
 	received              unit.Bytes
+	// arrived is set if all of the body was there when the request began: it has no deadline.
+	arrived bool
 	// done is set when the body was read to its end.
 	done bool
 	err  error
@@ -125,13 +129,16 @@
 		return 0, b.err
 	}
 	n, err := b.ReadCloser.Read(p)
+	before := admitter.BodyBytes(b.received)
 	b.received += unit.Bytes(n)
 	switch {
 	case errors.Is(err, io.EOF):
 		b.done, b.err = true, err
-		b.conn.enter(admitter.Serving)
-		// Else net/http would take the deadline for the end of the connection.
-		_ = b.control.SetReadDeadline(time.Time{})
+		if !b.arrived {
+			b.conn.enter(admitter.Serving)
+			// Else net/http would take the deadline for the end of the connection.
+			_ = b.control.SetReadDeadline(time.Time{})
+		}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		a := b.conn.admission
 		a.note(a.metrics.stalledBodies, "stalled body", b.conn.RemoteAddr().String())
@@ -140,12 +147,12 @@
 	case err != nil:
 		b.err = err
 	}
-	if n > 0 && !b.conn.admission.acquire(&b.conn.request, unit.Bytes(n)) {
+	if n > 0 && !b.conn.admission.acquire(&b.conn.request, admitter.BodyBytes(b.received)-before) {
 		b.conn.admission.noteRefused(b.conn)
 		b.err = ErrOverloaded
 		return 0, b.err
 	}
-	if n > 0 && !b.done {
+	if n > 0 && !b.done && !b.arrived {
 		b.last = b.conn.now()
 		b.setDeadline()
 	}
@@ -165,7 +172,7 @@
 
 // finish bounds the time in which net/http reads what the handler left of the body.
 func (b *body) finish() {
-	if !b.done {
+	if !b.done && !b.arrived {
 		_ = b.control.SetReadDeadline(time.Now().Add(drainTimeout))
 	}
 }
@@ -187,7 +194,8 @@
 	data := make([]byte, 0, min(most+1, firstBuffer))
 	for {
 		if len(data) == cap(data) {
-			data = append(make([]byte, 0, min(2*int64(cap(data)), most+1)), data...)
+			grown := int64(cap(data)) + min(int64(cap(data)), max(admitter.GrowthBytes, int64(cap(data))/4))
+			data = append(make([]byte, 0, min(grown, most+1)), data...)
 		}
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
