runner, platform, caller: admission control on all listeners

Cause: clients without any right made a process outgrow its memory and descriptors.

Change: the client, ready and control addresses of a domain and the API of a zone obey one listener.Admission for the process; the ready address has a bound of connections of its own, since two failed checks take an instance out of service. Limits follow from Limits.MemoryMb and Limits.MaxFds of the platform's file, and from the new object Limits of a zone's settings; each can be set. Lists are bounded before they are decoded (1,000 steps of a job, as the planner takes; 50,000 routes, services and tenants), and a configuration beyond an entry of the log is refused undecoded, with 400 as before. In a zone, a request for which there is no memory is NotRun with the reason NoMemory and 503. ReadTimeout of the zone's server gives way to the deadlines of bodies. A shutdown gives clients 1 s to send the rest. The mesh takes at least 15.2 MB, of which one peer gets a frame of the greatest length.

Measured, TestProcessSurvivesClientsThatNobodyControls on this code, 42 cases: 24 to 58 MB of 64, 33 to 184 descriptors of 500, an answer in each; before 29 to 3,028 MB and 612 to 734 descriptors. TestClientsWithinTheLimitsAreServed passes before and after. A request of 2,000 bytes takes 30.9 to 33.3 µs instead of 25.2 to 25.8 (go test ./listener -run - -bench Request, four runs of each, other programs on the machine). go test ./e2e ./platform/soak passes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,8 +26,9 @@
 	// connectionCost is the memory of an idle connection: two buffers of 4 KB, a stack and the
 	// state of net/http took 12 KB, and a header of usual size may come on top.
 	connectionCost = 20 * unit.Kilobyte
-	// maxFrame is a frame of the mesh of the greatest length.
-	maxFrame = 8<<20 + 1<<16
+	// minMeshBytes is a budget of which one holder gets a frame of the mesh of the greatest length,
+	// 8 MB and 64 KB: nine sixteenths of it.
+	minMeshBytes = (8<<20 + 1<<16) * 9 / 5
 )
 
 // Limits are the bounds of a process.
@@ -73,7 +74,7 @@
 		// Callers usually wait 3 s for an answer; a body that takes twice that is of no use to
 		// them. The smallest link, 1.5 Mbit/s, carries six bodies at the least rate.
 		BodyTimeout: 6 * clock.Second, BodyStall: 3 * clock.Second, BodyRate: 32 * unit.Kilobyte,
-		MeshBytes:       max(memory/6, maxFrame*5/4),
+		MeshBytes:       max(memory/6, minMeshBytes),
 		MeshConnections: max(usable/8, 32),
 	}
 }
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// TestGreatestFrameFits guards against a mesh that never takes a frame of the greatest length.
+func TestGreatestFrameFits(t *testing.T) {
+	for _, memory := range []unit.Bytes{1 * unit.Megabyte, 64 * unit.Megabyte, 144 * unit.Megabyte, 424 * unit.Megabyte} {
+		b := admitter.NewBudget(admitter.Derive(memory, 0).MeshBytes)
+		is.New(t).True(b.Acquire(&admitter.Request{Holder: "peer"}, 8<<20+1<<16)) // memory
+	}
+}
+
 // TestUnknownClientsLeaveRoom guards against unknown clients that take the whole budget: neither
 // a known account nor anybody's small request may be shut out by large bodies.
 func TestUnknownClientsLeaveRoom(t *testing.T) {
--- a/caller/check.go
+++ b/caller/check.go
@@ -4,15 +4,16 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/listener"
 	"github.com/chervilvane/chervilvane/unit"
 )
 
@@ -29,12 +30,18 @@
 			return badRequest("the header " + h + " came more than once"), true
 		}
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return badRequest(fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes)), true
+	data, err := listener.ReadAll(r.Body, r.ContentLength, MaxBodyBytes)
+	if err == nil {
+		err = listener.Charge(r.Context(), admitter.DecodedBytes(data))
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, listener.ErrOverloaded):
+		listener.RefuseHeader(w)
+		return memoryExhausted(), true
+	case errors.Is(err, listener.ErrTooLong):
+		w.Header().Set("Connection", "close")
+		return badRequest(fmt.Sprintf("the body is larger than %d bytes", MaxBodyBytes)), true
+	case err != nil:
 		return badRequest("the body was cut off: " + err.Error()), true
 	}
 	d := json.NewDecoder(bytes.NewReader(data))
@@ -48,6 +55,32 @@
 	return dispatcher.Refusal{}, false
 }
 
+// memoryExhausted is the refusal of a request for which the instance has no memory left. In
+// contrast to ReasonOverloaded, another instance may take it.
+func memoryExhausted() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoMemory, Detail: listener.ErrOverloaded.Error(),
+		Remedy: "send again, also to another instance", RetryAfter: listener.RetryAfter,
+	}
+}
+
+// RefuseOverload answers a request that was refused before it was read.
+func RefuseOverload(w http.ResponseWriter) { writeNotRun(w, "", memoryExhausted()) }
+
+// Identify returns the client account of the key in a request, also if the copy of the keys is
+// stale. It returns false for a request without a valid key.
+func (s *Server) Identify(r *http.Request) (unit.ClientAccount, bool) {
+	if r.Header.Get("Authorization") == "" {
+		return "", false
+	}
+	token, _, ok := bearerToken(r)
+	if !ok {
+		return "", false
+	}
+	key, ok := s.config.Authenticator.CheckAllowStale(token)
+	return key.Account, ok
+}
+
 func checkSubmission(body submission) (dispatcher.Refusal, bool) {
 	switch {
 	case !validID.MatchString(body.ID):
--- a/commander/pages_test.go
+++ b/commander/pages_test.go
@@ -59,6 +59,7 @@
 		sections: map[string]string{
 			"Fields of the settings": "{%s}", "Listen": "Listen: {%s}", "Peers": "Peers: [{%s}]", "TLS": "TLS: {%s}",
 			"Operators": "Operators: [{%s}]", "Log": "Log: {%s}", "Trace": "Trace: {%s}", "Timing": "Timing: {%s}",
+			"Limits": "Limits: {%s}",
 		},
 		defaults: map[string]string{
 			"Level":        loader.DefaultLevel,
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -71,6 +71,7 @@
 	ReasonZoneUnreachable  Reason = "ZoneUnreachable"
 	ReasonLogUnreachable   Reason = "LogUnreachable"
 	ReasonOverloaded       Reason = "Overloaded"
+	ReasonNoMemory         Reason = "NoMemory"
 	ReasonTeamLimit        Reason = "TeamLimit"
 	ReasonNeverFits        Reason = "NeverFits"
 	ReasonDeadline         Reason = "Deadline"
--- a/loader/reader.go
+++ b/loader/reader.go
@@ -39,6 +39,7 @@
 		"Log":              r.readLog,
 		"Trace":            r.readTrace,
 		"Timing":           r.readTiming,
+		"Limits":           r.readLimits,
 	}, "Instance", "AvailabilityZone", "Listen", "Peers")
 	r.checkSelf()
 	r.checkVoters()
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -8,6 +8,7 @@
 package loader
 
 import (
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -27,6 +28,18 @@
 	Log       Log
 	Trace     Trace
 	Timing    Timing
+	Limits    Limits
+}
+
+// Limits holds what the process may use. Limits of admission control that the file doesn't set
+// follow from its memory and descriptors.
+type Limits struct {
+	// Memory is the memory of the process; 0 if the file doesn't set it.
+	Memory unit.Bytes
+	// Descriptors is the number of file descriptors; 0 if the file doesn't set it.
+	Descriptors int
+	// Admission holds the limits of admission control that the file sets.
+	Admission admitter.Limits
 }
 
 // Listen holds the addresses that the instance listens on, as IP:PORT.
--- a/operator/change.go
+++ b/operator/change.go
@@ -5,17 +5,18 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/authenticator"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/decoder"
 	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/listener"
 	"github.com/chervilvane/chervilvane/parser"
 	"github.com/chervilvane/chervilvane/registrar"
 	"github.com/chervilvane/chervilvane/replicator"
@@ -28,7 +29,15 @@
 		writeProblem(w, http.StatusBadRequest, badRequest("the parameter base must be the version that the text replaces"))
 		return
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxConfigBytes))
+	text, err := listener.ReadAll(r.Body, r.ContentLength, MaxConfigBytes)
+	if err == nil {
+		err = listener.ChargeAtMost(r.Context(), admitter.DecodedBytes(text))
+	}
+	if errors.Is(err, listener.ErrOverloaded) {
+		listener.RefuseHeader(w)
+		writeProblem(w, http.StatusServiceUnavailable, memoryExhausted())
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, badRequest("the text can't be read: "+err.Error()))
 		return
@@ -42,6 +51,14 @@
 	})
 }
 
+// memoryExhausted is the refusal of a change for which the instance has no memory left.
+func memoryExhausted() dispatcher.Refusal {
+	return dispatcher.Refusal{
+		Reason: dispatcher.ReasonNoMemory, Detail: listener.ErrOverloaded.Error(),
+		Remedy: "send again, also to another instance", RetryAfter: listener.RetryAfter,
+	}
+}
+
 // grantBody is the JSON body of a request to grant a key. It holds only the hash
 // of the key's secret, so that the secret never leaves the client.
 type grantBody struct {
--- a/operator/server.go
+++ b/operator/server.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// Identify returns the name of the operator whose key is in a request; false if there is none.
+func (s *Server) Identify(r *http.Request) (string, bool) { return s.operator(r) }
+
 // operator returns the name of the operator whose key is in the request. It
 // compares the key with those of all operators, so that the time taken doesn't
 // reveal which one matched.
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -22,12 +22,14 @@
 	"go.uber.org/fx/fxevent"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/driver"
 	"github.com/chervilvane/chervilvane/encoder"
 	"github.com/chervilvane/chervilvane/forwarder"
 	"github.com/chervilvane/chervilvane/instance"
 	"github.com/chervilvane/chervilvane/keeper"
+	"github.com/chervilvane/chervilvane/listener"
 	"github.com/chervilvane/chervilvane/loader"
 	"github.com/chervilvane/chervilvane/logger"
 	"github.com/chervilvane/chervilvane/planner"
@@ -67,6 +69,9 @@
 	// domainIdleTimeout the time that a connection may be idle.
 	domainHeaderTimeout = 3 * clock.Second
 	domainIdleTimeout   = 60 * clock.Second
+	// maxReadyConnections bounds the connections of the balancer and of readers of metrics. Two
+	// failed checks take an instance out of service, so a flood of clients must not use them up.
+	maxReadyConnections = 64
 )
 
 // methodLog is the mesh method for messages of the domain's log.
@@ -98,7 +103,7 @@
 		fx.Supply(settings, binding, clock.Clock{}, domainOutput{logger.NewNonBlockingWriter(logTo)}),
 		fx.Provide(
 			newDomainLogger, newMeter, newDomainMesh, newDomainUpstreamClient, newDomainForwarder,
-			newHealth, newDomainCore, newDomainServers,
+			newHealth, newDomainCore, newDomainLimits, newAdmission, newDomainServers,
 		),
 		fx.Invoke(addDomainLifecycle),
 		fx.StopTimeout((settings.Grace + stopReserve).Duration()),
@@ -115,8 +120,17 @@
 	return l, l.WithFields(logrus.Fields{logger.FieldInstance: s.Name, logger.FieldZone: s.AvailabilityZone})
 }
 
-func newDomainMesh(s platform.Settings, b meshBinding, l logrus.FieldLogger, m tally.Scope) (*instance.TCPMesh, error) {
-	return instance.NewTCPMesh(instance.TCPMeshConfig{ListenAddress: cmp.Or(string(b), s.MeshAddress), AdvertiseAddress: s.MeshAddress, Logger: l, Metrics: m})
+// newDomainLimits returns the limits of admission control, which follow from the platform's limits
+// of the process unless the settings say otherwise.
+func newDomainLimits(s platform.Settings) admitter.Limits {
+	return admitter.Derive(s.MemoryLimit, cmp.Or(s.Descriptors, descriptorLimit())).Override(s.Admission)
+}
+
+func newDomainMesh(s platform.Settings, limits admitter.Limits, b meshBinding, l logrus.FieldLogger, m tally.Scope) (*instance.TCPMesh, error) {
+	return instance.NewTCPMesh(instance.TCPMeshConfig{
+		ListenAddress: cmp.Or(string(b), s.MeshAddress), AdvertiseAddress: s.MeshAddress, Logger: l, Metrics: m,
+		MaxBytes: limits.MeshBytes, MaxConnections: limits.MeshConnections,
+	})
 }
 
 func newDomainUpstreamClient(s platform.Settings, l logrus.FieldLogger) *platform.UpstreamClient {
@@ -223,16 +237,19 @@
 
 // domainServers are the HTTP servers of an instance.
 type domainServers struct {
-	servers []*httpServer
+	servers   []*httpServer
+	admission *listener.Admission
 	// closing is set on shutdown: the instance is unready and closes the
 	// connection after each response.
 	closing atomic.Bool
 }
 
-func newDomainServers(s platform.Settings, f *forwarder.Forwarder, clk clock.Clock, m meterPage) (*domainServers, error) {
-	d := &domainServers{}
+func newDomainServers(s platform.Settings, f *forwarder.Forwarder, clk clock.Clock, m meterPage, a *listener.Admission) (*domainServers, error) {
+	d := &domainServers{admission: a}
 	if s.ClientAddress != "" {
-		d.add(s.ClientAddress, d.withConnectionClose(platform.NewClientAPI(f)))
+		api := platform.NewClientAPI(f)
+		api.SetAdmission(a)
+		d.add(s.ClientAddress, d.withConnectionClose(api), api.Policy())
 	}
 	if s.ReadyAddress != "" {
 		routes := mux.NewRouter()
@@ -240,22 +257,29 @@
 			return !d.closing.Load() && clk.Now()-f.LastLeaderReply() < maxLeaderSilence
 		})
 		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
-		d.add(s.ReadyAddress, routes)
+		ready := d.add(s.ReadyAddress, routes, listener.Policy{Refuse: platform.Refuse, Holder: func(*http.Request) (admitter.Holder, clock.Millis) {
+			return "balancer", 0
+		}})
+		ready.apart = maxReadyConnections
 	}
 	if s.ControlAddress != "" {
 		routes := mux.NewRouter()
 		platform.NewControlAPI(f, s.ControlAddress, s.AvailabilityZone).Register(routes)
 		routes.Handle("/metrics", m.handler).Methods(http.MethodGet)
-		d.add(s.ControlAddress, d.withConnectionClose(routes))
+		d.add(s.ControlAddress, d.withConnectionClose(routes), platform.ControlPolicy())
 	}
 	return d, nil
 }
 
-func (d *domainServers) add(address string, h http.Handler) {
-	d.servers = append(d.servers, &httpServer{server: &http.Server{
+func (d *domainServers) add(address string, h http.Handler, p listener.Policy) *httpServer {
+	server := &http.Server{
 		Addr: address, Handler: h, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: domainHeaderTimeout.Duration(), IdleTimeout: domainIdleTimeout.Duration(),
-	}})
+	}
+	d.admission.Apply(server, p)
+	s := &httpServer{server: server, admission: d.admission}
+	d.servers = append(d.servers, s)
+	return s
 }
 
 // withConnectionClose wraps a handler. While the instance shuts down, each
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -47,7 +47,7 @@
 	return fx.New(
 		fx.Supply(settings, opts, clock.Clock{}),
 		fx.Provide(
-			newLogger, newMeter, newTracer, newCredentials,
+			newLogger, newMeter, newTracer, newCredentials, newLimits, newAdmission,
 			newMesh, newRegistrar, newLog,
 			newAuthenticator, newWithdrawer,
 			newElector, newUpstreamClient, newScheduler, newSummarizer, newRouter,
--- a/upstream/handler.go
+++ b/upstream/handler.go
@@ -7,7 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chervilvane/chervilvane/admitter"
 	"github.com/chervilvane/chervilvane/dispatcher"
+	"github.com/chervilvane/chervilvane/listener"
 	"github.com/chervilvane/chervilvane/tracer"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -27,13 +29,21 @@
 			refuse(w, http.StatusMethodNotAllowed, errors.New("reports are sent with POST"))
 			return
 		}
-		data, err := readBounded(http.MaxBytesReader(w, r.Body, MaxReportBytes), MaxReportBytes)
-		if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
+		data, err := listener.ReadAll(r.Body, r.ContentLength, MaxReportBytes)
+		if err == nil {
+			err = listener.Charge(r.Context(), admitter.DecodedBytes(data))
+		}
+		switch {
+		case errors.Is(err, listener.ErrOverloaded):
+			listener.RefuseHeader(w)
+			refuse(w, http.StatusServiceUnavailable, err)
+			return
+		case errors.Is(err, listener.ErrTooLong):
+			w.Header().Set("Connection", "close")
 			refuse(w, http.StatusRequestEntityTooLarge, err)
 			return
-		}
-		if err != nil {
-			refuse(w, http.StatusBadRequest, err)
+		case err != nil:
+			refuse(w, http.StatusBadRequest, errors.Wrap(err, "reading a body"))
 			return
 		}
 		rep, err := DecodeReport(data)
