--- a/instance/mesh_test.go
+++ b/instance/mesh_test.go
@@ -129,3 +129,27 @@
 	is.Equal(string(got), "b: back over the same connection")
 	is.Equal(a.Reachable(), map[unit.Instance]bool{"b": true})
 }
+
+// TestConnectionsBeyondTheBoundAreRefused guards against strangers who hold any number of
+// connections, and against a bound that ended connections still count for.
+func TestConnectionsBeyondTheBoundAreRefused(t *testing.T) {
+	is := is.New(t)
+	ca := authority(t)
+	b := startWith(t, instance.Config{
+		Self: "b", ListenAddress: loopback, Credentials: credentials(t, ca, "b"), MaxConnections: 1,
+		Peers: map[unit.Instance]string{"a": loopback, "c": loopback},
+	}, map[instance.Method]instance.Handler{"Echo": echo})
+	peers := map[unit.Instance]string{"b": b.Addr()}
+	call := func(m *instance.Mesh) error {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		_, err := m.Call(ctx, "b", "Echo", nil)
+		return err
+	}
+	a := start(t, credentials(t, ca, "a"), "a", peers, nil)
+	eventually(t, func() error { return call(a) })
+	c := start(t, credentials(t, ca, "c"), "c", peers, nil)
+	is.True(call(c) != nil)
+	is.NoErr(a.Close())
+	eventually(t, func() error { return call(c) })
+}
