--- a/listener/listener.go
+++ b/listener/listener.go
@@ -33,8 +33,9 @@
 	// at the least rate.
 	writeTimeout = 10 * time.Second
 	// stopTimeout is how long clients may go on sending a request after the shutdown began, and how
-	// long a write of a response may take then.
-	stopTimeout = 1 * time.Second
+	// long a write of a response may take then. A domain leaves 0.7 s for the end of its requests,
+	// with the shortest grace time of the platform.
+	stopTimeout = 500 * time.Millisecond
 	// requestCost is the memory of a request in progress beside its header and body: contexts,
 	// timers, a call of the mesh and the growth of its stack.
 	requestCost = 8 << 10
