planner: shares count the upstreams that have not answered a new leader yet

A new leader took the upstreams that had answered its first poll for the whole domain. Until all had answered, surplus was refused although it could be served, and the moving averages of the shares began with values that are too high by the factor of what was missing.

--- a/planner/entitlement_test.go
+++ b/planner/entitlement_test.go
@@ -240,3 +240,28 @@
 		t.Errorf("a submission takes %v", best)
 	}
 }
+
+// TestNewLeaderCountsUpstreamsThatHaveNotAnswered guards against surplus that is refused, and
+// accounts that count as over their share, because a new leader takes the few upstreams that
+// have answered it for the whole domain.
+func TestNewLeaderCountsUpstreamsThatHaveNotAnswered(t *testing.T) {
+	is := is.New(t)
+	now := clock.Millis(1_000_000)
+	state := weightedState()
+	p := newWeightedPlanner(now, state)
+	for i := range 10 {
+		p.HandleReport(now, reportOf(i, 1, now), func() {})
+	}
+	small := keeper.Step{Count: 1, Need: unit.Resources{CPU: 100}, Estimate: 100}
+	// The urgent queue is known once it has had a job.
+	is.Equal(weightedSubmit(p, now, 50, "u", "b", small).Code, planner.OK)
+	for i := range 5 {
+		is.Equal(weightedSubmit(p, now, i, "q", "a", small).Code, planner.OK)
+	}
+	// This takes half of the domain for a second.
+	is.Equal(weightedSubmit(p, now, 60, "q", "b", keeper.Step{Count: 10, Need: unit.Resources{CPU: 2000}, Estimate: 1000}).Code, planner.OK)
+	p = newWeightedPlanner(now, state)
+	p.HandlePollResult(now, now, planner.Target{ID: "u0", Incarnation: 1}, planner.PollResult{Incarnation: 1, Clock: 1010})
+	p.Tick(now + 100)
+	is.Equal(weightedSubmit(p, now+100, 100, "q", "a", small).Code, planner.OK)
+}
--- a/planner/share.go
+++ b/planner/share.go
@@ -91,11 +91,15 @@
 	p.shares = shares{at: p.now, uses: uses, overShare: accountsOverShare(uses), drainTime: clock.Millis(min(drainTime, float64(maxTime)))}
 }
 
-// totalCapacity returns the capacity of all upstreams that may get new tasks.
+// totalCapacity returns the capacity of all upstreams that may get new tasks, or may get them
+// once they have answered this leader. Without the latter, a new leader would take the first
+// upstream that answers for the whole domain, and its moving averages would need tens of
+// seconds to forget that.
 func (p *Planner) totalCapacity() unit.Resources {
 	var sum unit.Resources
 	for _, u := range p.byID {
-		if p.takesTasks(u) {
+		awaited := !u.tokenAcked && !u.ended && !u.Draining && !u.deregistered && !p.IsEvacuated(u.Zone)
+		if awaited || p.takesTasks(u) {
 			sum = sum.Add(u.Capacity)
 		}
 	}
