driver: no ticket requests without a lease

Ticket requests don't wait for a commit any more, so that a leader that had lost its lease went on with them and kept the advice service busy.

The test on the code before:

driver_test.go: 20 != 10 --- FAIL: TestTicketsAreNotRequestedWithoutALease

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,11 +142,17 @@
 // upstream. It must be called in a synctest bubble, in which a sleep takes no real
 // time and ends at the same point of each run.
 func newLeader(t *testing.T) (*driver.Driver, *fakeLog, *fakeUpstream) {
+	t.Helper()
+	return newLeaderWith(t, noMesh{}, keeper.Queue{Name: "q", Service: "s", MaxAttempts: 2})
+}
+
+// newLeaderWith is like newLeader, with a mesh and a queue.
+func newLeaderWith(t *testing.T, mesh instance.Caller, queue keeper.Queue) (*driver.Driver, *fakeLog, *fakeUpstream) {
 	t.Helper()
 	l := &fakeLog{state: keeper.New(), term: 7, leads: true, leased: true, delay: 5 * time.Millisecond}
 	u := &fakeUpstream{began: time.Now(), started: map[keeper.RunKey]time.Time{}}
 	d := driver.New(driver.Config{
-		Self: "self", Log: l, State: l.state, Upstreams: u, Mesh: noMesh{}, Logger: logger.Discard(),
+		Self: "self", Log: l, State: l.state, Upstreams: u, Mesh: mesh, Logger: logger.Discard(),
 		Planner: planner.Config{MaxLease: 6000, Retention: clock.Minute},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,7 +165,7 @@
 	time.Sleep(50 * time.Millisecond)
 	is := is.New(t)
 	is.Equal(ask(d, planner.PutConfig{Config: keeper.Config{Version: 1, Queues: []keeper.QueueRoute{{
-		Host: "h", PathPrefix: "/q/", Queue: keeper.Queue{Name: "q", Service: "s", MaxAttempts: 2},
+		Host: "h", PathPrefix: "/q/", Queue: queue,
 	}}, Accounts: []keeper.Account{{Name: "t", Keys: []string{"k"}}}}}).Reply.Code, planner.OK)
 	is.Equal(ask(d, planner.ReportUpstream{Upstream: keeper.Upstream{
 		ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Zone: "z", Capacity: unit.Resources{CPU: 1000},
@@ -390,3 +397,36 @@
 		is.Equal(len(u.startTokens()), 1)
 	})
 }
+
+// advisoryMesh refuses all calls and counts the ticket requests.
+type advisoryMesh struct{ requests atomic.Int32 }
+
+func (m *advisoryMesh) Call(_ context.Context, _ unit.Instance, method instance.Method, _ []byte) ([]byte, error) {
+	if method == driver.MethodAdvise {
+		m.requests.Add(1)
+	}
+	return nil, errors.New("no mesh")
+}
+
+// TestTicketsAreNotRequestedWithoutALease guards against ticket requests of a leader that has
+// lost its lease: they don't wait for a commit, and would keep the advice service busy while
+// another leader needs it.
+func TestTicketsAreNotRequestedWithoutALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		mesh := &advisoryMesh{}
+		d, l, _ := newLeaderWith(t, mesh, keeper.Queue{Name: "q", Service: "s", MaxAttempts: 2, RequiresTicket: true, TicketTTL: 2500})
+		is.Equal(ask(d, submit()).Reply.Code, planner.OK)
+		heartbeat := planner.Heartbeat{From: "e", RequestsTickets: true}
+		ask(d, heartbeat)
+		time.Sleep(time.Second)
+		requests := mesh.requests.Load()
+		is.True(requests > 0)
+		ask(d, heartbeat)
+		l.set(func(l *fakeLog) { l.leased = false })
+		time.Sleep(50 * time.Millisecond) // a request that is under way
+		requests = mesh.requests.Load()
+		time.Sleep(time.Second)
+		is.Equal(mesh.requests.Load(), requests)
+	})
+}
--- a/driver/effect.go
+++ b/driver/effect.go
@@ -102,7 +102,13 @@
 	defer cancel()
 	started := time.Now()
 	var response TicketResponse
-	body, err := s.d.cfg.Mesh.Call(ctx, e.Requester, MethodAdvise, encoder.Marshal(TicketRequest{Step: e.Step.String(), Upstreams: e.Upstreams}))
+	var body []byte
+	err := errLeaseExpired
+	// A leader that has lost its lease must not keep the advice service busy: these requests
+	// don't wait for a commit.
+	if s.d.holdsLease(s.term) {
+		body, err = s.d.cfg.Mesh.Call(ctx, e.Requester, MethodAdvise, encoder.Marshal(TicketRequest{Step: e.Step.String(), Upstreams: e.Upstreams}))
+	}
 	if err == nil {
 		err = encoder.Unmarshal(body, &response)
 	}
