planner: large gangs are served earlier

Change: the deadline by which a gang of more than twice the mean size ranks is 100 ms earlier for each task beyond that.

--- a/planner/gang.go
+++ b/planner/gang.go
@@ -36,6 +36,22 @@
 	return s.mayBook && float64(s.spec.Count) >= largeGangFactor*p.meanGangSize
 }
 
+// taskAcquisitionTime is how much longer it takes to get tickets and capacity for each further
+// task of a large gang.
+const taskAcquisitionTime = 100 * clock.Millisecond
+
+// acquisitionTime returns how much earlier than other gangs a large one has to be served, so
+// that it starts as early.
+//
+// It is meant for large gangs on a domain that is nearly full: by their deadlines alone, they
+// come first when it is too late for them.
+func (p *Planner) acquisitionTime(s *step) clock.Millis {
+	if !s.spec.Gang {
+		return 0
+	}
+	return clock.Millis(max(float64(s.spec.Count)-largeGangFactor*p.meanGangSize, 0) * float64(taskAcquisitionTime))
+}
+
 // grantBookings chooses the gangs that may book capacity: the largest of those that can
 // still end in time and whose accounts are within their shares. Small gangs find capacity
 // by chance; without bookings the largest would never start while anything else waits.
--- a/planner/step.go
+++ b/planner/step.go
@@ -190,7 +190,7 @@
 			continue
 		}
 		o := p.objectiveOf(s.job, s.id.Occurrence)
-		s.rank.deadline = o.deadline()
+		s.rank.deadline = o.deadline() - p.acquisitionTime(s)
 		s.rank.tier = o.tier(p.now + p.criticalPath(s.job, s.id.Step))
 	}
 	slices.SortFunc(p.waiting, func(a, b *step) int { return a.rank.compare(b.rank) })
