--- a/planner/entitlement.go
+++ b/planner/entitlement.go
@@ -15,9 +15,9 @@
 // jobs per second, and its surplus. Each account has a token bucket.
 //
 // They are meant for an account that submits many times its usual rate: its surplus waits
-// behind the entitled jobs of all accounts, in all queues, and is refused early while the
-// domain can't run it in time. shares.go holds back accounts by what they have running,
-// which shows a flood of short jobs only after it has been started.
+// behind the entitled jobs of all accounts that have the same prospects, and is refused early
+// while the domain can't run it in time. The shares hold back accounts by what they have
+// running, which shows a burst only after it has been started.
 type entitlements struct {
 	// slack is how many jobs an account may submit at once beyond those of
 	// entitlementWindow; 0 disables entitlements.
@@ -77,7 +77,7 @@
 // remove forgets a job that has ended.
 func (e *entitlements) remove(id keeper.JobID) { delete(e.surplus, id) }
 
-// isSurplus reports whether a step waits behind the entitled jobs of all accounts. Steps of
+// isSurplus reports whether a step comes after those of entitled jobs. Steps of
 // the most urgent queue aren't held back, nor are long-running tasks, as for isOverShare.
 func (p *Planner) isSurplus(s *step) bool {
 	return p.entitlements.surplus[s.job.ID] && s.rank.priority > p.urgent.priority && !s.spec.LongRunning
--- a/planner/step.go
+++ b/planner/step.go
@@ -171,8 +171,8 @@
 // the forecasts are rough.
 const rankInterval = 50 * clock.Millisecond
 
-// rankWaiting sorts the waiting steps by tier, then by whether their account is over its
-// share, then by the priority of their queue, then by deadline.
+// rankWaiting sorts the waiting steps by tier, then by whether their job is surplus or their
+// account over its share, then by the priority of their queue, then by deadline.
 func (p *Planner) rankWaiting() {
 	if p.now-p.shares.at >= rankInterval {
 		p.updateShares()
