--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -156,7 +156,7 @@
 	for name, q := range st.Queues {
 		s.log.WithFields(logrus.Fields{
 			"Queue": name, "Steps": q.Steps, "Tasks": q.Tasks, "MilliCPU": q.WaitingCPU, "Late": q.Late,
-			"Surplus": q.OverShare, "Unadvised": q.AwaitingTickets, "OldestMillis": int64(q.LongestWait),
+			"Surplus": q.OverShare, "OverWeight": q.Surplus, "Unadvised": q.AwaitingTickets, "OldestMillis": int64(q.LongestWait),
 		}).Info("queue backlog")
 	}
 }
--- a/planner/status.go
+++ b/planner/status.go
@@ -39,6 +39,8 @@
 	Late int
 	// OverShare counts the steps that wait because their account is over its share.
 	OverShare int
+	// Surplus counts the steps of jobs that exceed their account's entitlement.
+	Surplus int
 	// AwaitingTickets counts the steps for which the advice service hasn't answered any
 	// request.
 	AwaitingTickets int
@@ -90,6 +92,9 @@
 	if w.rank.overShare {
 		q.OverShare++
 	}
+	if w.rank.surplus {
+		q.Surplus++
+	}
 	if w.job.Queue.RequiresTicket && (w.tickets == nil || len(w.tickets.granted)+len(w.tickets.denied) == 0) {
 		q.AwaitingTickets++
 	}
