--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -166,7 +166,8 @@
 			_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\n123456789")
 			is.NoErr(err)
 			if stop {
-				time.Sleep(50 * time.Millisecond)
+				// The handler is reading the body.
+				eventually(t, func() bool { return a.Used() > 0 })
 				a.Stop()
 				is.NoErr(server.Shutdown(context.Background()))
 			}
