planner, driver: log where the time of jobs goes

Change: two lines each 2 s. 'leader timing' has the lag, the pauses between polls, the passes and the commits; 'queue timing' the times from a step's queueing to its first grant and to its last start, from a start to its answer, and of the whole job, with the counts by tier.

--- a/driver/session.go
+++ b/driver/session.go
@@ -53,6 +53,9 @@
 	// pending are the outputs of events that aren't committed yet, in their order.
 	pending []output
 	lag     lag
+	// passes and commits are the durations of the planner's passes and of the commits since
+	// the last status line.
+	passes, commits planner.Span
 	// polled is the set of upstreams that have a polling goroutine.
 	polled map[unit.Upstream]bool
 }
@@ -205,6 +208,7 @@
 		s.planner.Tick(s.now())
 		s.collectOutput()
 		s.pollNewUpstreams()
+		s.passes.Add(clock.FromDuration(time.Since(passStart)))
 		s.mu.Unlock()
 		if clock.Sleep(s.ctx, passPause(clock.FromDuration(time.Since(passStart)))) != nil {
 			return nil
@@ -220,9 +224,11 @@
 	clock.Every(s.ctx, statusInterval, func() {
 		s.mu.Lock()
 		st := s.planner.Status()
+		timing := s.takeTiming()
 		s.mu.Unlock()
 		s.d.metrics.updateEvacuation(st)
 		s.logStatus(st)
+		s.logTiming(timing)
 	})
 	return nil
 }
@@ -297,7 +303,11 @@
 		s.resultUnknown = !errors.As(err, new(*replicator.NotLeaderError)) && !errors.Is(err, replicator.ErrTooLarge)
 		return false
 	}
-	s.d.metrics.commit.RecordDuration(time.Since(started))
+	took := time.Since(started)
+	s.d.metrics.commit.RecordDuration(took)
+	s.mu.Lock()
+	s.commits.Add(clock.FromDuration(took))
+	s.mu.Unlock()
 	s.logCommands(commands, forecasts)
 	return true
 }
--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -18,6 +18,8 @@
 	polls, jobsAccepted, runsStarted tally.Counter
 	runsEnded                        map[keeper.RunOutcome]tally.Counter
 	evacuatedZones, evacuatingRuns   tally.Gauge
+	// lag and pollInterval are in milliseconds.
+	lag, pollInterval tally.Gauge
 	// forecastError and estimateError are the mean errors of the logarithms of running
 	// times; forecastMedian and forecastHigh the parts of the runs that ended before their
 	// median and 0.9 quantile, which should be 0.5 and 0.9.
@@ -44,6 +46,8 @@
 
 		evacuatedZones: s.Gauge("evacuated_zones"),
 		evacuatingRuns: s.Gauge("evacuating_runs"),
+		lag:            s.Gauge("lag_millis"),
+		pollInterval:   s.Gauge("poll_interval_millis"),
 		forecastError:  s.Gauge("forecast_log_error"),
 		estimateError:  s.Gauge("estimate_log_error"),
 		forecastMedian: s.Tagged(map[string]string{"quantile": "0.5"}).Gauge("forecast_earlier"),
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -44,6 +44,7 @@
 		p.rebookMigrations(s)
 		p.reserveQuota(s)
 		if !s.blocked && p.pendingTasks(s) == 0 {
+			p.timePlacement(s)
 			s.queued = false
 			continue
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -107,6 +107,8 @@
 	entitlements entitlements
 	// evacuation holds the moves out of evacuated zones.
 	evacuation evacuation
+	// timing is what has been timed since TakeTiming.
+	timing Timing
 
 	// freed are the upstreams on which capacity was freed since the last pass; quotaFreed
 	// are the accounts of which a run has ended since then.
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -93,6 +93,10 @@
 		}
 		return
 	}
+	if u.answeredAt > 0 {
+		p.timing.PollGap.Add(sentAt - u.answeredAt)
+	}
+	u.answeredAt = p.now
 	if !u.tokenAcked || u.failing {
 		p.markFreed(u)
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -170,6 +170,9 @@
 	}
 	switch a := result.(type) {
 	case Executed:
+		if r.ackedAt == 0 {
+			p.timeAnswer(r)
+		}
 		r.ackedAt = p.now
 		r.indeterminate = false
 	case Refused:
--- a/planner/step.go
+++ b/planner/step.go
@@ -14,8 +14,10 @@
 	job  *keeper.Job
 	spec *keeper.Step
 	rank rank
-	// rankedAt is when rank was last determined.
-	rankedAt clock.Millis
+	// rankedAt is when rank was last determined. objective is that of the occurrence, as of
+	// then.
+	rankedAt  clock.Millis
+	objective objective
 	// queued is set while the step is in Planner.waiting, since queuedAt.
 	queued   bool
 	queuedAt clock.Millis
@@ -190,6 +192,7 @@
 			continue
 		}
 		o := p.objectiveOf(s.job, s.id.Occurrence)
+		s.objective = o
 		s.rank.deadline = o.deadline() - p.acquisitionTime(s)
 		s.rank.tier = o.tier(p.now + p.criticalPath(s.job, s.id.Step))
 	}
@@ -292,6 +295,7 @@
 	if j != nil && !j.Phase.IsFinal() {
 		return
 	}
+	p.timeJob(j, p.stepsByJob[id])
 	for _, s := range p.stepsByJob[id] {
 		s.closed = true
 		delete(p.steps, s.id)
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -351,6 +351,7 @@
 	}
 	s.blocked = false
 	t := s.tickets
+	hadGrant := s.hasAnyGrant()
 	t.requests--
 	answered := make([]unit.Upstream, 0, len(request.Upstreams))
 	for _, id := range request.Upstreams {
@@ -378,4 +379,5 @@
 			t.setTicket(u, ticket, p.now+ttl)
 		}
 	}
+	p.timeGrant(s, hadGrant)
 }
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -56,6 +56,8 @@
 	deregistered bool
 	// pollingNow is set while a PollNow is in progress.
 	pollingNow bool
+	// answeredAt is when this leader received the last answer to a poll.
+	answeredAt clock.Millis
 	// clockReceivedAt is the leader's time at which lastClock was received. The upstream
 	// had read its clock before that.
 	clockReceivedAt clock.Millis
@@ -315,7 +317,7 @@
 		}
 	}
 	u.incarnation = incarnation
-	u.reportSeq, u.firstPollClock, u.inheritedDraining = 0, 0, false
+	u.reportSeq, u.firstPollClock, u.inheritedDraining, u.answeredAt = 0, 0, false, 0
 	u.tokenAcked, u.listedAll, u.failing, u.ended, u.restarted, u.pollingNow = false, false, false, false, false, false
 	u.hasClock, u.lastClock, u.leaseExpiry = false, 0, 0
 	u.leaseEndsAt = p.now + maxElapsed(p.cfg.MaxLease) + leaseMargin
