planner: a replay with a leader that is short of processor fails

The replays of the planner had an infinitely fast leader, so that no test could see what short urgent jobs lose to the leader's own delays. Change: the load of the tests can have a processor that does one event or pass after the other and takes time for both, by the number of searches for capacity.

--- a/driver/pace.go
+++ b/driver/pace.go
@@ -13,19 +13,8 @@
 	maxPollInterval = 800 * clock.Millisecond
 	// lagRetainedPercent is the part of the lag that is kept at each observation.
 	lagRetainedPercent = 95
-	// passPauseFactor times the duration of a planner pass is the minimum pause
-	// after it, so that the planner uses at most a quarter of the time.
-	passPauseFactor = 3
-	// maxPassPause bounds that pause, since it delays starts.
-	maxPassPause = 150 * clock.Millisecond
 )
 
-// passPause returns the pause after a pass of the planner that took the given time.
-//
-// Under load each pass takes longer, and requests and answers wait for the same
-// processor. Fewer passes then process the same events.
-func passPause(took clock.Millis) clock.Millis { return min(passPauseFactor*took, maxPassPause) }
-
 // lag is the scheduling delay of this process: how long a ready goroutine waits for
 // the processor. It rises immediately and decays slowly.
 //
--- a/driver/session.go
+++ b/driver/session.go
@@ -210,7 +210,7 @@
 		s.pollNewUpstreams()
 		s.passes.Add(clock.FromDuration(time.Since(passStart)))
 		s.mu.Unlock()
-		if clock.Sleep(s.ctx, passPause(clock.FromDuration(time.Since(passStart)))) != nil {
+		if clock.Sleep(s.ctx, planner.PassPause(clock.FromDuration(time.Since(passStart)))) != nil {
 			return nil
 		}
 		timer.Reset(maxTickInterval.Duration())
--- a/driver/timing.go
+++ b/driver/timing.go
@@ -32,7 +32,7 @@
 	s.log.WithFields(logrus.Fields{
 		"LagMillis": int64(t.lag), "PollIntervalMillis": int64(t.pollInterval),
 		"PollGapMillis": int64(t.PollGap.Mean()), "PollGapMaxMillis": int64(t.PollGap.Max), "Polls": t.PollGap.Count,
-		"PassMillis": int64(t.passes.Mean()), "PassMaxMillis": int64(t.passes.Max), "Passes": t.passes.Count,
+		"PassMillis": int64(t.passes.Mean()), "PassMaxMillis": int64(t.passes.Max), "Passes": t.passes.Count, "Searches": t.Searches,
 		"CommitMillis": int64(t.commits.Mean()), "CommitMaxMillis": int64(t.commits.Max), "Commits": t.commits.Count,
 	}).Info("leader timing")
 	for _, name := range t.SortedQueues() {
--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -42,6 +42,9 @@
 	return p.predictor.Slowness(id, p.now).Factor()
 }
 
+// PassSearches returns the number of steps for which the last pass searched for capacity.
+func (p *Planner) PassSearches() int { return p.passSearches }
+
 // MaxBacklog exports maxBacklog.
 const MaxBacklog = maxBacklog
 
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -85,6 +85,10 @@
 	advisedUntil map[unit.Instance]clock.Millis
 	longestCall  time.Duration
 	tickDue      bool
+	// processor, if it isn't nil, is that of a leader which needs time for events and passes. No
+	// pass begins before pausedUntil.
+	processor   *loadProcessor
+	pausedUntil clock.Millis
 	// committing is set while a batch is being committed. effects and polls collect the
 	// output for the next batch.
 	committing bool
@@ -227,21 +231,76 @@
 	}
 }
 
-// do calls the planner and measures the time that the call takes.
+// loadProcessor is the processor of a slow leader. It does one thing after the other.
+type loadProcessor struct {
+	// eventMillis is the time that an event takes, and searchMillis the time that a pass takes for
+	// each step for which it searches for capacity.
+	eventMillis, searchMillis float64
+	// work are the events and passes that wait; each returns the time that it takes in
+	// milliseconds. debt is the time of those done that is less than a millisecond.
+	work []func() float64
+	busy bool
+	debt float64
+}
+
+// serve does what waits for the processor.
+func (l *load) serve(p *loadProcessor) {
+	if p.busy || len(p.work) == 0 {
+		return
+	}
+	next := p.work[0]
+	p.work = p.work[1:]
+	p.debt += next()
+	cost := clock.Millis(p.debt)
+	p.debt -= float64(cost)
+	p.busy = true
+	l.after(cost, func() {
+		p.busy = false
+		l.collect()
+		l.serve(p)
+	})
+}
+
+// do calls the planner and measures the time that the call takes. A slow leader does so once
+// its processor is free.
 func (l *load) do(f func()) {
+	if p := l.processor; p != nil {
+		p.work = append(p.work, func() float64 {
+			f()
+			l.requestTick()
+			return p.eventMillis
+		})
+		l.serve(p)
+		return
+	}
 	began := time.Now()
 	f()
 	took := time.Since(began)
 	l.plannerTime += took
 	l.longestCall = max(l.longestCall, took)
 	l.collect()
+	l.requestTick()
+}
+
+func (l *load) requestTick() {
 	if !l.tickDue {
 		l.tickDue = true
-		l.after(loadBatchDelay, l.tick)
+		l.after(max(loadBatchDelay, l.pausedUntil-l.now), l.tick)
 	}
 }
 
 func (l *load) tick() {
+	if p := l.processor; p != nil {
+		p.work = append(p.work, func() float64 {
+			l.planner.Tick(l.now)
+			l.tickDue = false
+			cost := p.searchMillis * float64(l.planner.PassSearches())
+			l.pausedUntil = l.now + clock.Millis(cost) + planner.PassPause(clock.Millis(cost))
+			return cost
+		})
+		l.serve(p)
+		return
+	}
 	began := time.Now()
 	l.planner.Tick(l.now)
 	took := time.Since(began)
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -25,6 +25,7 @@
 	p.bookMigrations()
 	p.rankWaiting()
 	p.grantBookings()
+	p.passSearches = 0
 	kept := p.waiting[:0]
 	for _, s := range p.waiting {
 		if s.closed || s.job.Phase.IsFinal() {
@@ -36,6 +37,7 @@
 		case p.now < s.retryAt:
 			p.rebook(s)
 		case !s.blocked || p.now >= s.blockedUntil || s.quotaLimited && p.quotaFreed[s.job.Account]:
+			p.passSearches++
 			s.dropBookings()
 			p.placeStep(s)
 		default:
@@ -59,6 +61,7 @@
 	clear(p.quotaFreed)
 	p.migrateRuns()
 	p.sendTicketRequests()
+	p.timing.Searches += p.passSearches
 }
 
 // placeStep starts as many tasks of a step as it can.
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -257,6 +257,40 @@
 	}
 }
 
+// A quarter of the users' large deployment and its jobs keep these processors as busy as the whole
+// of it keeps the leader's, and passes take as long.
+const (
+	slowEventMillis  = 0.7
+	slowSearchMillis = 0.6
+)
+
+// urgentBurst has a burst of urgent jobs.
+func urgentBurst(queue int, at clock.Millis) float64 {
+	if queue == 2 && at > 5*clock.Second && at < 9*clock.Second {
+		return 2.1
+	}
+	return 1
+}
+
+// TestReplayUrgentJobsOnSlowLeader guards short urgent jobs against a leader that can't keep up:
+// its passes over all waiting steps take long and are followed by pauses, and an urgent step,
+// which has some hundred milliseconds, waits for several of them.
+func TestReplayUrgentJobsOnSlowLeader(t *testing.T) {
+	for _, seed := range []uint64{2, 3} {
+		const part = 4
+		r := replays["overload"]
+		r.upstreams, r.requesters, r.rate = r.upstreams/part, r.requesters/part, urgentBurst
+		l := r.prepare(seed, func(q *loadQueue) { q.perSecond /= part })
+		l.processor = &loadProcessor{eventMillis: slowEventMillis, searchMillis: slowSearchMillis}
+		l.runReplay()
+		all, queues := l.earned()
+		t.Logf("seed %d: jobs earn %.3f of their worth, by queue %.3f", seed, all, queues)
+		if queues[2] < minEarned {
+			t.Errorf("seed %d: urgent jobs earn %.3f of their worth", seed, queues[2])
+		}
+	}
+}
+
 // BenchmarkReplay reports what each load earns, with and without preemption.
 //
 //	go test ./planner -run - -bench Replay -benchtime 1x
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -38,6 +38,8 @@
 	// PollGap is the time between the answer of an upstream and its next poll. An end in
 	// between waits for that poll.
 	PollGap Span
+	// Searches counts the searches of passes for a step's capacity.
+	Searches int
 }
 
 // QueueTiming tells where the time of a queue's jobs went.
