planner: a pass searches for the capacity of 16 steps at most

Cause: a pass searched for capacity for all waiting steps. A pass on a leader whose processor is fully used took 16 to 88 ms, with the session locked, and the pause after it three times as long, up to 150 ms; requests, answers and urgent steps waited for both. An urgent step needs two passes (tickets, starts), which took up to half of the 570 ms that its job has. The more steps waited, the longer were the passes, and the more steps waited. Ruled out: late urgent jobs behind others (the counts of 'queue timing' show few worthless ones while the load lasts); tickets themselves (a hold is granted 22 ms after its request is sent, and most of the 133 to 413 ms until its first grant are passes). Change: at most 16 searches in a pass, in the order of the ranks. The others keep their bookings and come in the next passes, since a step that found no capacity is blocked for 200 ms.

--- a/planner/plan.go
+++ b/planner/plan.go
@@ -36,7 +36,10 @@
 		switch {
 		case p.now < s.retryAt:
 			p.rebook(s)
-		case !s.blocked || p.now >= s.blockedUntil || s.quotaLimited && p.quotaFreed[s.job.Account]:
+		case p.isDue(s) && p.passSearches >= maxSearches:
+			p.rebook(s)
+			p.dirty = true
+		case p.isDue(s):
 			p.passSearches++
 			s.dropBookings()
 			p.placeStep(s)
@@ -64,6 +67,16 @@
 	p.timing.Searches += p.passSearches
 }
 
+// maxSearches bounds the steps for which one pass searches for capacity. A step of lower rank gets
+// its turn in a later pass, since those before it are blocked for a while after their search. Events
+// wait for the end of a pass, so that without a bound urgent steps would wait for all others.
+const maxSearches = 16
+
+// isDue reports whether a pass may search for capacity for a step.
+func (p *Planner) isDue(s *step) bool {
+	return !s.blocked || p.now >= s.blockedUntil || s.quotaLimited && p.quotaFreed[s.job.Account]
+}
+
 // placeStep starts as many tasks of a step as it can.
 func (p *Planner) placeStep(s *step) {
 	s.blocked, s.quotaLimited = false, false
