runner: a core's heap may grow to three times what is live

Change: instances with a disk and a memory limit collect after twice the live heap in garbage instead of once. The collector's memory limit stays as it is. Entries keep the usual growth.

--- a/runner/domain.go
+++ b/runner/domain.go
@@ -52,6 +52,9 @@
 	// heapLimitPercent is the garbage collector's memory limit, in percent of
 	// the process's memory limit.
 	heapLimitPercent = 70
+	// leaderGCPercent is the garbage that an instance which may lead collects at once, in percent
+	// of its live heap, as long as it is below the memory limit.
+	leaderGCPercent = 200
 	// domainUnreadyDelay is how long an instance serves clients after it became
 	// unready on shutdown: the balancer stops sending requests after two failed
 	// checks, one a second.
@@ -87,12 +90,22 @@
 	if check {
 		return nil
 	}
-	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryLimit) * heapLimitPercent / 100)
-	}
+	limitHeap(settings)
 	return Run(ctx, newDomain(settings, meshBinding(meshListen), stdout))
 }
 
+// limitHeap sets the garbage collector's memory limit, and lets the heap of an instance that may
+// lead grow up to it: a leader has one core at most, and each collection delays all requests.
+func limitHeap(s platform.Settings) {
+	if s.MemoryLimit <= 0 {
+		return
+	}
+	debug.SetMemoryLimit(int64(s.MemoryLimit) * heapLimitPercent / 100)
+	if s.DataFolder != "" {
+		debug.SetGCPercent(leaderGCPercent)
+	}
+}
+
 // meshBinding is the listen address of the mesh; if it is empty, the mesh listens
 // on the address by which peers know this instance.
 type meshBinding string
