planner: a pass searches for upstreams to ask about for 16 steps at most

Cause: the same as for capacity. While the advice service is scarce, a pass determined for each waiting step whether its granted upstreams will have capacity, else which upstreams the service hasn't been asked about: each visits hundreds of upstreams. Change: at most 16 such searches in a pass too, in the order of the ranks; a step that was searched for in vain isn't searched for again for 200 ms, so that the others get their turn.

--- a/planner/export_test.go
+++ b/planner/export_test.go
@@ -42,8 +42,8 @@
 	return p.predictor.Slowness(id, p.now).Factor()
 }
 
-// PassSearches returns the number of steps for which the last pass searched for capacity.
-func (p *Planner) PassSearches() int { return p.passSearches }
+// PassSearches returns the number of searches of the last pass.
+func (p *Planner) PassSearches() int { return p.passSearches + p.passTicketSearches }
 
 // MaxBacklog exports maxBacklog.
 const MaxBacklog = maxBacklog
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -234,7 +234,7 @@
 // loadProcessor is the processor of a slow leader. It does one thing after the other.
 type loadProcessor struct {
 	// eventMillis is the time that an event takes, and searchMillis the time that a pass takes for
-	// each step for which it searches for capacity.
+	// each of its searches.
 	eventMillis, searchMillis float64
 	// work are the events and passes that wait; each returns the time that it takes in
 	// milliseconds. debt is the time of those done that is less than a millisecond.
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -25,7 +25,7 @@
 	p.bookMigrations()
 	p.rankWaiting()
 	p.grantBookings()
-	p.passSearches = 0
+	p.passSearches, p.passTicketSearches = 0, 0
 	kept := p.waiting[:0]
 	for _, s := range p.waiting {
 		if s.closed || s.job.Phase.IsFinal() {
@@ -64,12 +64,13 @@
 	clear(p.quotaFreed)
 	p.migrateRuns()
 	p.sendTicketRequests()
-	p.timing.Searches += p.passSearches
+	p.timing.Searches += p.passSearches + p.passTicketSearches
 }
 
-// maxSearches bounds the steps for which one pass searches for capacity. A step of lower rank gets
-// its turn in a later pass, since those before it are blocked for a while after their search. Events
-// wait for the end of a pass, so that without a bound urgent steps would wait for all others.
+// maxSearches bounds the steps for which one pass searches for capacity, and those for which it
+// searches for upstreams to request tickets for. A step of lower rank gets its turn in a later pass,
+// since those before it aren't searched for again for a while. Events wait for the end of a pass, so
+// that without a bound urgent steps would wait for all others.
 const maxSearches = 16
 
 // isDue reports whether a pass may search for capacity for a step.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -107,10 +107,11 @@
 	entitlements entitlements
 	// evacuation holds the moves out of evacuated zones.
 	evacuation evacuation
-	// timing is what has been timed since TakeTiming. passSearches is the number of steps for
-	// which the last pass searched for capacity.
-	timing       Timing
-	passSearches int
+	// timing is what has been timed since TakeTiming. passSearches and passTicketSearches are
+	// the numbers of steps for which the last pass searched for capacity and for upstreams to
+	// request tickets for.
+	timing                           Timing
+	passSearches, passTicketSearches int
 
 	// freed are the upstreams on which capacity was freed since the last pass; quotaFreed
 	// are the accounts of which a run has ended since then.
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -299,6 +299,11 @@
 	if p.now < t.exhaustedUntil {
 		return nil
 	}
+	if p.passTicketSearches >= maxSearches {
+		p.dirty = true
+		return nil
+	}
+	p.passTicketSearches++
 	if p.adviceScarce && p.expectsEnough(s) {
 		t.exhaustedUntil = p.now + blockedRetry
 		return nil
--- a/planner/timing.go
+++ b/planner/timing.go
@@ -38,7 +38,8 @@
 	// PollGap is the time between the answer of an upstream and its next poll. An end in
 	// between waits for that poll.
 	PollGap Span
-	// Searches counts the searches of passes for a step's capacity.
+	// Searches counts the searches of passes for a step's capacity and for upstreams to request
+	// tickets for.
 	Searches int
 }
 
