--- a/planner/planner.go
+++ b/planner/planner.go
@@ -108,8 +108,8 @@
 	// evacuation holds the moves out of evacuated zones.
 	evacuation evacuation
 	// timing is what has been timed since TakeTiming. passSearches and passTicketSearches are
-	// the numbers of steps for which the last pass searched for capacity and for upstreams to
-	// request tickets for.
+	// the numbers of steps for which the last pass searched for capacity, and in vain for
+	// upstreams to request tickets for.
 	timing                           Timing
 	passSearches, passTicketSearches int
 
--- a/planner/tickets.go
+++ b/planner/tickets.go
@@ -303,16 +303,14 @@
 		p.dirty = true
 		return nil
 	}
-	p.passTicketSearches++
-	if p.adviceScarce && p.expectsEnough(s) {
-		t.exhaustedUntil = p.now + blockedRetry
-		return nil
-	}
-	ids := p.unrequested(s)
-	if len(ids) == 0 {
-		t.exhaustedUntil = p.now + blockedRetry
+	if !p.adviceScarce || !p.expectsEnough(s) {
+		if ids := p.unrequested(s); len(ids) > 0 {
+			return ids
+		}
 	}
-	return ids
+	p.passTicketSearches++
+	t.exhaustedUntil = p.now + blockedRetry
+	return nil
 }
 
 // maxTicketRequests returns how many requests a step may have in progress. A gang without
