driver: the leader's delays are 0 on an instance that doesn't lead

Cause: found on reading the diff: the gauges of the lag and of the interval of polls kept their last value when a session ended, and a comment on the bound of searches promised each step its turn. Change: the gauges are set to 0, as those of evacuations; the comment says when a step has to wait longer. Result: go test ./driver passes.

--- a/driver/session.go
+++ b/driver/session.go
@@ -108,6 +108,7 @@
 	_ = s.group.Wait()
 	s.orders.Wait()
 	s.d.metrics.updateEvacuation(planner.Status{})
+	s.d.metrics.updateDelays(timing{})
 	s.log.WithField("Reason", reason).Info("leader session ended")
 }
 
--- a/driver/timing.go
+++ b/driver/timing.go
@@ -24,11 +24,15 @@
 	return t
 }
 
-// logTiming logs the delays of the leader itself, then those of each queue's jobs.
-func (s *session) logTiming(t timing) {
-	m := s.d.metrics
+// updateDelays sets the gauges of the leader's delays. They are 0 on an instance that doesn't lead.
+func (m *metrics) updateDelays(t timing) {
 	m.lag.Update(float64(t.lag))
 	m.pollInterval.Update(float64(t.pollInterval))
+}
+
+// logTiming logs the delays of the leader itself, then those of each queue's jobs.
+func (s *session) logTiming(t timing) {
+	s.d.metrics.updateDelays(t)
 	s.log.WithFields(logrus.Fields{
 		"LagMillis": int64(t.lag), "PollIntervalMillis": int64(t.pollInterval),
 		"PollGapMillis": int64(t.PollGap.Mean()), "PollGapMaxMillis": int64(t.PollGap.Max), "Polls": t.PollGap.Count,
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -68,10 +68,10 @@
 }
 
 // maxSearches bounds the steps for which one pass searches for capacity, and those for which it
-// searches in vain for upstreams to request tickets for. A step of lower rank gets its turn in a
-// later pass, since those before it aren't searched for again for a while; until then it gets what
-// becomes free. Events wait for the end of a pass, so that without a bound urgent steps would wait
-// for all others.
+// searches in vain for upstreams to request tickets for. Events wait for the end of a pass, so that
+// without a bound urgent steps would wait for all others. A step of lower rank gets its turn in a
+// later pass, unless more steps wait before it than are searched for within blockedRetry; until then
+// its tasks get what becomes free.
 const maxSearches = 16
 
 // isDue reports whether a pass may search for capacity for a step.
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -94,8 +94,8 @@
 	return Run(ctx, newDomain(settings, meshBinding(meshListen), stdout))
 }
 
-// limitHeap sets the garbage collector's memory limit, and lets the heap of an instance that may
-// lead grow up to it: a leader has one core at most, and each collection delays all requests.
+// limitHeap sets the garbage collector's memory limit. Within it, an instance that may lead collects
+// garbage less often, since a leader can be short of processor.
 func limitHeap(s platform.Settings) {
 	if s.MemoryLimit <= 0 {
 		return
