--- a/review/stand-2/case_silent.go
+++ b/review/stand-2/case_silent.go
@@ -43,7 +43,7 @@
 			return 40 * time.Second
 		}
 		return 1500 * time.Millisecond
-	})
+	}, nil)
 	if err != nil {
 		return "", err
 	}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -42,8 +42,10 @@
 	rack    string
 	address string
 	born    time.Time
-	// workTime is how long a task takes.
+	// workTime is how long a task takes; fails reports whether it fails by its own fault. fails may
+	// be nil.
 	workTime func(name string) time.Duration
+	fails    func(name string) bool
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -56,9 +58,9 @@
 	seq     int64
 }
 
-func newWorker(rec *record, id, zone, rack string, workTime func(string) time.Duration) *worker {
+func newWorker(rec *record, id, zone, rack string, workTime func(string) time.Duration, fails func(string) bool) *worker {
 	return &worker{
-		record: rec, id: id, zone: zone, rack: rack, born: time.Now(), workTime: workTime,
+		record: rec, id: id, zone: zone, rack: rack, born: time.Now(), workTime: workTime, fails: fails,
 		changed: make(chan struct{}), running: map[string]*task{}, highest: map[string]int{},
 	}
 }
@@ -110,6 +112,8 @@
 			w.end(t, "lapsed")
 		case !t.stopAt.IsZero() && now.After(t.stopAt):
 			w.end(t, "stopped")
+		case now.After(t.ends) && w.fails != nil && w.fails(t.name):
+			w.end(t, "failed")
 		case now.After(t.ends):
 			w.end(t, "done")
 		}
@@ -286,11 +290,11 @@
 }
 
 // newWorkers starts one worker in each zone, each behind a proxy.
-func newWorkers(ctx context.Context, group *errgroup.Group, c *cluster, workTime func(string) time.Duration) ([]*worker, []*proxy, error) {
+func newWorkers(ctx context.Context, group *errgroup.Group, c *cluster, workTime func(string) time.Duration, fails func(string) bool) ([]*worker, []*proxy, error) {
 	var workers []*worker
 	var proxies []*proxy
 	for i, z := range c.zones {
-		w := newWorker(c.record, fmt.Sprintf("i-7f3a91c%d", i), z, fmt.Sprintf("r%d-1", i), workTime)
+		w := newWorker(c.record, fmt.Sprintf("i-7f3a91c%d", i), z, fmt.Sprintf("r%d-1", i), workTime, fails)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, nil, err
