--- a/review/stand-2/case_poison.go
+++ b/review/stand-2/case_poison.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() { _ = group.Wait() }()
 	defer cancel()
-	workers, _, err := newWorkers(ctx, group, c, func(name string) time.Duration {
+	workers, _, err := newWorkers(ctx, group, c, 1, func(name string) time.Duration {
 		switch {
 		case strings.HasPrefix(name, poison):
 			return 3400 * time.Millisecond
--- a/review/stand-2/case_silent.go
+++ b/review/stand-2/case_silent.go
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() { _ = group.Wait() }()
 	defer cancel()
-	workers, proxies, err := newWorkers(ctx, group, c, func(name string) time.Duration {
+	workers, proxies, err := newWorkers(ctx, group, c, 1, func(name string) time.Duration {
 		if strings.HasPrefix(name, cancelled) {
 			return 40 * time.Second
 		}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -123,6 +123,23 @@
 	return answer.State
 }
 
+// pending asks a front machine how many jobs of the queue wait.
+func (c *cluster) pending(ctx context.Context, m *machine) (int, error) {
+	status, text, err := call(ctx, http.MethodGet, c.jobURL(m, ""), tenantKey, 3*time.Second, nil)
+	c.record.logf("GET %s at %s: %d %s %v", routePrefix, m.name, status, text, err)
+	if err != nil {
+		return 0, err
+	}
+	var answer struct{ Pending *int }
+	if err := json.Unmarshal([]byte(text), &answer); err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK || answer.Pending == nil {
+		return 0, fmt.Errorf("status %d: %s", status, text)
+	}
+	return *answer.Pending, nil
+}
+
 func (c *cluster) jobURL(m *machine, id string) string {
 	return "http://" + address(m.ip, c.ports.front) + routePrefix + id
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,6 +31,7 @@
 var scenarios = map[string]scenario{
 	"silent": runSilent,
 	"poison": runPoison,
+	"begun":  runBegun,
 }
 
 // environment is what a case gets.
--- a/review/stand-2/proxy.go
+++ b/review/stand-2/proxy.go
@@ -20,6 +20,8 @@
 
 	mu    sync.Mutex
 	links map[*link]bool
+	// dark is set once the server has gone: connections to it hang.
+	dark bool
 }
 
 // link is one connection through the proxy.
@@ -64,8 +66,8 @@
 		_ = client.Close()
 		return
 	}
-	l := &link{}
 	p.mu.Lock()
+	l := &link{silent: p.dark}
 	p.links[l] = true
 	p.mu.Unlock()
 	linkCtx, end := context.WithCancel(ctx)
@@ -116,3 +118,11 @@
 	}
 	return len(p.links)
 }
+
+// goDark makes all connections hang, open and new ones.
+func (p *proxy) goDark() {
+	p.mu.Lock()
+	p.dark = true
+	p.mu.Unlock()
+	p.silence()
+}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -56,12 +56,16 @@
 	ended   [][]any
 	lastEnd int64
 	seq     int64
+	// begun holds the jobs of which a task has begun.
+	begun map[string]bool
+	// gone is set once the worker has been lost for good.
+	gone bool
 }
 
 func newWorker(rec *record, id, zone, rack string, workTime func(string) time.Duration, fails func(string) bool) *worker {
 	return &worker{
 		record: rec, id: id, zone: zone, rack: rack, born: time.Now(), workTime: workTime, fails: fails,
-		changed: make(chan struct{}), running: map[string]*task{}, highest: map[string]int{},
+		changed: make(chan struct{}), running: map[string]*task{}, highest: map[string]int{}, begun: map[string]bool{},
 	}
 }
 
@@ -194,6 +198,7 @@
 		return
 	default:
 		w.running[o.Task] = &task{name: o.Task, run: o.Run, started: now, ends: now.Add(w.workTime(o.Task))}
+		w.begun[o.Task[:16]] = true
 		w.record.logf("%s: %s run %d begins, %d run there", w.id, o.Task, o.Run, len(w.running))
 	}
 	w.answer(rw, http.StatusOK, object{})
@@ -257,14 +262,33 @@
 	return n
 }
 
+// hasBegun reports whether a task of a job has begun here.
+func (w *worker) hasBegun(job string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun[job]
+}
+
+// lose ends the worker: it runs nothing any more and sends nothing.
+func (w *worker) lose() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone = true
+	clear(w.running)
+	w.record.logf("%s is lost for good", w.id)
+}
+
 // beat reports to the control addresses in turn until ctx ends.
 func (w *worker) beat(ctx context.Context, c *cluster, first int) {
 	next, given := first, ""
 	for ctx.Err() == nil {
 		w.mu.Lock()
 		w.seq++
-		seq := w.seq
+		seq, gone := w.seq, w.gone
 		w.mu.Unlock()
+		if gone {
+			return
+		}
 		to := given
 		if to == "" {
 			to = address(c.cores[next%len(c.cores)].ip, c.ports.control)
@@ -289,12 +313,13 @@
 	}
 }
 
-// newWorkers starts one worker in each zone, each behind a proxy.
-func newWorkers(ctx context.Context, group *errgroup.Group, c *cluster, workTime func(string) time.Duration, fails func(string) bool) ([]*worker, []*proxy, error) {
+// newWorkers starts workers in each zone, each behind a proxy.
+func newWorkers(ctx context.Context, group *errgroup.Group, c *cluster, perZone int, workTime func(string) time.Duration, fails func(string) bool) ([]*worker, []*proxy, error) {
 	var workers []*worker
 	var proxies []*proxy
-	for i, z := range c.zones {
-		w := newWorker(c.record, fmt.Sprintf("i-7f3a91c%d", i), z, fmt.Sprintf("r%d-1", i), workTime, fails)
+	for i := range perZone * len(c.zones) {
+		z := i % len(c.zones)
+		w := newWorker(c.record, fmt.Sprintf("i-7f3a91c%d", i), c.zones[z], fmt.Sprintf("r%d-1", z), workTime, fails)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, nil, err
@@ -306,7 +331,7 @@
 		w.address = p.address()
 		w.serve(ctx, group, l)
 		group.Go(func() error {
-			w.beat(ctx, c, i)
+			w.beat(ctx, c, z)
 			return nil
 		})
 		workers, proxies = append(workers, w), append(proxies, p)
