Review case 10: a lost worker's lasting task waits for the longest lease

A script: one worker of eight is lost for good; the task that lasts there has no run for 10.3 to 10.5 s, with seven idle workers, where the rule allows 9 s.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -29,9 +29,10 @@
 type scenario func(ctx context.Context, e *environment) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"silent": runSilent,
-	"poison": runPoison,
-	"begun":  runBegun,
+	"silent":  runSilent,
+	"poison":  runPoison,
+	"begun":   runBegun,
+	"lasting": runLasting,
 }
 
 // environment is what a case gets.
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -21,8 +21,10 @@
 	stopTime     = 50 * time.Millisecond
 	// answerTime is how long a worker takes to answer an order.
 	answerTime = 5 * time.Millisecond
-	workerCPU  = 32000
-	workerMem  = 65536
+	// lasting is the working time from which on a task counts as one that lasts.
+	lasting   = time.Hour
+	workerCPU = 32000
+	workerMem = 65536
 )
 
 // task is a task that runs on a worker.
@@ -56,6 +58,8 @@
 	ended   [][]any
 	lastEnd int64
 	seq     int64
+	// heldAt is when the last hold arrived.
+	heldAt time.Time
 	// begun holds the jobs of which a task has begun.
 	begun map[string]bool
 	// gone is set once the worker has been lost for good.
@@ -223,6 +227,7 @@
 	if !ok {
 		return
 	}
+	w.heldAt = time.Now()
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= o.LastSeen {
 		w.ended = w.ended[1:]
 	}
@@ -240,7 +245,13 @@
 	rows := [][]any{}
 	for _, t := range w.running {
 		percent := int(100 * time.Since(t.started) / max(t.ends.Sub(t.started), 1))
-		rows = append(rows, []any{t.name, t.run, "", min(percent, 99), 0})
+		if t.ends.Sub(t.started) >= lasting {
+			// Such a task is at work after a short startup.
+			percent = min(100, int(time.Since(t.started).Milliseconds()/4))
+		} else {
+			percent = min(percent, 99)
+		}
+		rows = append(rows, []any{t.name, t.run, "", percent, 0})
 	}
 	ended := w.ended
 	if ended == nil {
@@ -269,6 +280,13 @@
 	return w.begun[job]
 }
 
+// sinceHold returns how long ago the last hold arrived.
+func (w *worker) sinceHold() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.heldAt)
+}
+
 // lose ends the worker: it runs nothing any more and sends nothing.
 func (w *worker) lose() {
 	w.mu.Lock()
