--- a/review/stand-2/case_silent.go
+++ b/review/stand-2/case_silent.go
@@ -14,8 +14,9 @@
 
 // Ids of the jobs of runSilent.
 const (
-	warmJob   = "5c0e7a21d94b36f8"
-	cancelled = "5c0e7a21d94b36f9"
+	warmJobs  = "5c0e7a21d94b36"
+	warmCount = 3
+	cancelled = "7c0e7a21d94b36f9"
 )
 
 // Bounds of the site.
@@ -25,8 +26,8 @@
 	stopBound   = 200 * time.Millisecond
 )
 
-// runSilent has the open connections to all workers go silent once. After ContactMs and another
-// second it cancels a job. It checks UNASKED: the job's task must not run on StopTimeoutMs after
+// runSilent has the open connections to all workers go silent once. After ContactMs and half
+// a second it cancels a job. It checks UNASKED: the job's task must not run on StopTimeoutMs after
 // cancel_ms after the acknowledgement.
 func runSilent(ctx context.Context, e *environment) (string, error) {
 	c, err := newCluster(e.record)
@@ -53,16 +54,20 @@
 	if err := sleep(ctx, 5*time.Second); err != nil {
 		return "", err
 	}
-	// A job as wide as the site's widest, of 60 tasks of 2 cores: each worker starts some at once.
-	if err := c.submit(ctx, warmJob, object{"Spec": "warm", "Steps": []object{{"Count": 60, "Cpu": 2000, "MemMb": 1000, "EstimateMs": 1500}}}); err != nil {
-		return "", err
-	}
-	for c.state(ctx, c.fronts[0], warmJob) != "completed" {
-		if err := sleep(ctx, 500*time.Millisecond); err != nil {
+	// Jobs as wide as the site's widest, of 60 tasks of 2 cores, one after the other: each worker starts
+	// some at once.
+	for i := range warmCount {
+		id := fmt.Sprintf("%s%02x", warmJobs, i)
+		if err := c.submit(ctx, id, object{"Spec": "warm", "Steps": []object{{"Count": 60, "Cpu": 2000, "MemMb": 1000, "EstimateMs": 1500}}}); err != nil {
 			return "", err
 		}
+		for c.state(ctx, c.fronts[0], id) != "completed" {
+			if err := sleep(ctx, 300*time.Millisecond); err != nil {
+				return "", err
+			}
+		}
+		e.record.logf("job %s is completed", id)
 	}
-	e.record.logf("job %s is completed", warmJob)
 	if err := c.submit(ctx, cancelled, object{"Spec": "cancelled", "Steps": []object{{"Count": 1, "Cpu": 2000, "MemMb": 1000, "EstimateMs": 40000}}}); err != nil {
 		return "", err
 	}
@@ -77,7 +82,7 @@
 			e.record.logf("%d connections to %s go silent", p.silence(), workers[i].id)
 		}
 	}
-	if err := sleep(ctx, contact+time.Second); err != nil {
+	if err := sleep(ctx, contact+500*time.Millisecond); err != nil {
 		return "", err
 	}
 	if countRuns(workers, cancelled) != 1 {
