--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -44,6 +44,7 @@
 	"unheard-goodbye": unheardGoodbye,
 	"other-writer":    otherWritersEntry,
 	"foreign-queue":   foreignQueue,
+	"taken-names":     takenNames,
 }
 
 func main() { os.Exit(run()) }
