--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Another writer sends heartbeats of an unknown service under the ids of the workers.
+# Another writer puts an entry of an unknown service with the address of a worker.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/stand-3 ] && [ -x target/chervilvaned ] || { echo "run the build of deploy/system.toml and review/build-3.sh first" >&2; exit 2; }
-exec target/review-3/stand-3 taken-names review/14 target/chervilvaned
+exec target/review-3/stand-3 other-writer review/14 target/chervilvaned
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A public queue is added; callers without a key ask for another queue's job there, and cancel it.
+# Another writer sends heartbeats of an unknown service under the ids of the workers.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/stand-3 ] && [ -x target/chervilvaned ] || { echo "run the build of deploy/system.toml and review/build-3.sh first" >&2; exit 2; }
-exec target/review-3/stand-3 foreign-queue review/15 target/chervilvaned
+exec target/review-3/stand-3 taken-names review/15 target/chervilvaned
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 )
 
 // Ports of the daemons. Each daemon has a loopback address of its own.
@@ -21,6 +22,9 @@
 	portMesh    = 17420
 )
 
+// graceTime is the time from SIGTERM to SIGKILL.
+const graceTime = 6 * time.Second
+
 // zoneNames are the availability zones; each has one core daemon.
 var zoneNames = []string{"fortaleza", "recife", "natal", "caruaru"}
 
@@ -167,6 +171,29 @@
 	return d.command.Start()
 }
 
+// terminate sends SIGTERM and waits for the end of the process; after the platform's grace time
+// it kills it.
+func (d *daemon) terminate() {
+	_ = d.command.Process.Signal(syscall.SIGTERM)
+	force := time.AfterFunc(graceTime, func() { _ = d.command.Process.Kill() })
+	_ = d.command.Wait()
+	force.Stop()
+	_ = d.log.Close()
+	d.command = nil
+}
+
+// wipe empties the disk of the daemon, which must not run.
+func (d *daemon) wipe() error {
+	return os.RemoveAll(filepath.Join(d.cluster.stage.folder, d.name))
+}
+
+// addCore starts a further core daemon, with an empty disk and an address of its own.
+func (c *cluster) addCore(zone string) (*daemon, error) {
+	d := &daemon{cluster: c, name: "core-" + zone + "-2", zone: zone, ip: fmt.Sprintf("%s.%d", c.network, 10+len(c.cores)), core: true}
+	c.cores = append(c.cores, d)
+	return d, d.start(false)
+}
+
 // kill ends the process.
 func (d *daemon) kill() {
 	if d.command == nil || d.command.Process == nil {
--- a/review/stand-3/goodbye.go
+++ b/review/stand-3/goodbye.go
@@ -30,7 +30,7 @@
 	}
 	runs := &spans{}
 	var workers []*worker
-	for i := range 8 {
+	for i := range 16 {
 		w, err := newWorker(s, runs, fmt.Sprintf("i-%d", i), zoneNames[i%len(zoneNames)])
 		if err != nil {
 			return couldNot, err
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -45,6 +45,7 @@
 	"other-writer":    otherWritersEntry,
 	"foreign-queue":   foreignQueue,
 	"taken-names":     takenNames,
+	"replace-wipe":    replaceThenWipe,
 }
 
 func main() { os.Exit(run()) }
