--- a/review/stand-3/replace.go
+++ b/review/stand-3/replace.go
@@ -15,6 +15,8 @@
 	catchUpTime = 4 * time.Second
 	// replaceGap is the time from the start of the new machine to the SIGTERM of the old one.
 	replaceGap = 2 * time.Second
+	// shortGap is that time for the second machine that is replaced.
+	shortGap = time.Second
 	// recoveryTime is RecoveryS: how long after the machines are back requests may fail.
 	recoveryTime = 12 * time.Second
 	// wipedTime is how long the machine that loses its disk is down.
@@ -24,10 +26,12 @@
 // replaceThenWipe has the operator replace a core machine as planned: the new one starts first,
 // then the old one is terminated for good. Once the new one has had its time to catch up, the
 // old one doesn't count as a loss any more, so the system must bear the loss of another disk.
-// TROUBLE=0 leaves out both; TROUBLE=replace and TROUBLE=wipe do just one of them.
+// TROUBLE=0 leaves out both; TROUBLE=replace and TROUBLE=wipe do just one of them, and
+// TROUBLE=rolling replaces a second machine in place of the lost disk.
 func replaceThenWipe(s *stage) (int, error) {
 	trouble := os.Getenv("TROUBLE")
-	replaces, wipes := s.trouble && trouble != "wipe", s.trouble && trouble != "replace"
+	replaces, rolls := s.trouble && trouble != "wipe", trouble == "rolling"
+	wipes := s.trouble && trouble != "replace" && !rolls
 	if err := s.putConfig(configuration(1)); err != nil {
 		return couldNot, err
 	}
@@ -51,15 +55,17 @@
 	old, other := s.cluster.cores[2], s.cluster.cores[1]
 	started := time.Now()
 	if replaces {
-		added, err := s.cluster.addCore(old.zone)
-		if err != nil {
+		if err := s.replaceCore(old, replaceGap); err != nil {
 			return couldNot, err
 		}
-		s.record.add("core machine %s starts at a new address, with an empty disk", added.name)
-		s.sleep(replaceGap)
-		s.record.add("core machine %s gets SIGTERM and is removed for good", old.name)
-		old.terminate()
-		s.record.add("core machine %s has ended", old.name)
+	}
+	if rolls {
+		s.sleep(time.Until(started.Add(catchUpTime)))
+		if err := s.replaceCore(other, shortGap); err != nil {
+			return couldNot, err
+		}
+		s.sleep(recoveryTime)
+		return s.checkKept(job, 1), nil
 	}
 	s.sleep(time.Until(started.Add(catchUpTime + 500*time.Millisecond)))
 	if err := s.putConfigAt(other, configuration(4)); err != nil {
@@ -81,6 +87,20 @@
 	return s.checkKept(job, 4), nil
 }
 
+// replaceCore has a new core machine start, and the old one removed after a time.
+func (s *stage) replaceCore(old *daemon, gap time.Duration) error {
+	added, err := s.cluster.addCore(old.zone)
+	if err != nil {
+		return err
+	}
+	s.record.add("core machine %s starts at a new address, with an empty disk", added.name)
+	s.sleep(gap)
+	s.record.add("core machine %s gets SIGTERM and is removed for good", old.name)
+	old.terminate()
+	s.record.add("core machine %s has ended", old.name)
+	return nil
+}
+
 // putConfigAt has a configuration accepted by one core daemon.
 func (s *stage) putConfigAt(d *daemon, config map[string]any) error {
 	status, text := s.call(http.MethodPut, d.address(portControl), "", "/v1/config", "", config)
