replicator: a voter that shuts down leaves its vote to a standby

Cause: on SIGTERM an instance only transferred the leadership. It kept its vote until it had been silent for DeadMemberTimeout (4 s), although learners that had caught up stood beside it. A machine that is removed stops counting as a loss once its successor has had its time to catch up, so the next lost disk took the majority.

Ruled out: a new machine that has not caught up, and a change of the membership that was lost.

Change: an instance leaves the group before it stops. It asks the leader, which promotes a caught-up learner and then removes the voter, one committed change after the other. Without a learner that could take over the leader refuses at once. Leaving members get no leadership and aren't promoted. A voter beyond the target, left over by a leader that failed between the two changes, is removed. Each member logs the changes of the membership.

Why it works: the group never has fewer voters than its target while the instance that leaves still answers, and once its process has ended the vote is with a member that holds everything.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -106,6 +106,7 @@
 
 	leaderState leaderState
 	bootstrap   bootstrapState
+	leave       leaveState
 	read        readState
 
 	incoming       incomingSnapshot
@@ -179,6 +180,7 @@
 		c.tickBootstrap()
 		return
 	}
+	c.tickLeave()
 	switch c.role {
 	case roleLeader:
 		c.tickLeader()
@@ -224,6 +226,10 @@
 		c.onTimeoutNow(m)
 	case ReadIndexRequest:
 		c.onReadIndexRequest(m, b)
+	case LeaveRequest:
+		c.onLeaveRequest(m, b)
+	case LeaveResponse:
+		c.onLeaveResponse(m, b)
 	}
 }
 
@@ -239,7 +245,7 @@
 	c.resetElectionTimer()
 	c.role = roleFollower
 	c.leader = Member{}
-	if c.log.membership().membership.isVoter(c.config.Self) {
+	if c.log.membership().membership.isVoter(c.config.Self) && !c.leave.requested {
 		c.preCampaign()
 	}
 }
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -20,6 +20,9 @@
 	transferDeadline clock.Millis
 	// joinRequests holds when each member last asked to join the group.
 	joinRequests map[Member]clock.Millis
+	// leaving holds the members that asked to leave, with the Life of the process that
+	// asked.
+	leaving map[Member]uint64
 	// caughtUpIndex is the index up to which a learner must hold the log to be
 	// promoted: the commit index at the previous heartbeat.
 	caughtUpIndex Index
@@ -73,6 +76,7 @@
 		firstIndex:   c.log.last() + 1,
 		members:      map[Member]*progress{},
 		joinRequests: map[Member]clock.Millis{},
+		leaving:      map[Member]uint64{},
 	}
 	c.appendEntry(KindNoop, nil)
 	c.trackMembers()
@@ -86,6 +90,7 @@
 	for m := range c.leaderState.members {
 		if !slices.Contains(others, m) {
 			delete(c.leaderState.members, m)
+			delete(c.leaderState.leaving, m)
 		}
 	}
 	for _, m := range others {
@@ -224,6 +229,7 @@
 	if a.Stamp.Life != p.stamp.Life || a.Stamp.Read > p.stamp.Read || a.Stamp.At > p.stamp.At {
 		p.stamp = a.Stamp
 	}
+	c.recordLife(m.From, a.Stamp.Life)
 	if a.Reject {
 		c.onReject(p, a)
 	} else {
--- a/replicator/membership_change.go
+++ b/replicator/membership_change.go
@@ -12,7 +12,7 @@
 // leader, since it may have been removed while it was unreachable.
 func (c *Core) tickJoin() {
 	member := c.log.membership().membership.has(c.config.Self)
-	if c.now < c.bootstrap.nextJoinAt || member && (c.leader != Member{} || c.now < c.withholdVoteUntil) {
+	if c.leave.requested || c.now < c.bootstrap.nextJoinAt || member && (c.leader != Member{} || c.now < c.withholdVoteUntil) {
 		return
 	}
 	c.bootstrap.nextJoinAt = c.now + c.config.ElectionTimeout
@@ -59,9 +59,12 @@
 }
 
 func (c *Core) nextMembership(membership Membership, caughtUp Index) (Membership, bool) {
+	if next, ok := c.withoutSurplusVoter(membership); ok {
+		return next, true
+	}
 	for _, l := range membership.Learners {
 		p := c.leaderState.members[l]
-		if c.isSilent(p, c.config.DeadMemberTimeout) {
+		if c.isLeaving(l) || c.isSilent(p, c.config.DeadMemberTimeout) {
 			return membership.removed(l), true
 		}
 		if p.match < caughtUp || c.isSilent(p, c.config.ElectionTimeout) {
@@ -82,17 +85,67 @@
 	if old, ok := membership.voterOf(l.Instance); ok {
 		return c.removeIfSilent(membership, old, replaceAfterElectionTimeouts*c.config.ElectionTimeout)
 	}
-	if len(membership.Voters) < max(c.config.TargetVoters, len(c.hardState.Base.Voters)) {
+	switch n := len(membership.Voters); {
+	case n < c.targetVoters():
 		return membership.promoted(l), true
+	case n > c.targetVoters():
+		return membership, false
 	}
 	for _, v := range membership.Voters {
-		if next, ok := c.removeIfSilent(membership, v, c.config.DeadMemberTimeout); ok {
+		if next, ok := c.replaceVoter(membership, v, l); ok {
 			return next, true
 		}
 	}
 	return membership, false
 }
 
+// replaceVoter returns the first of the two changes by which learner l replaces a voter. A
+// leaving voter that still answers stays until l is a voter, so that the group tolerates as
+// many losses meanwhile. It returns false if the voter stays.
+func (c *Core) replaceVoter(membership Membership, v, l Member) (Membership, bool) {
+	switch next := membership.promoted(l); {
+	case !c.isLeaving(v):
+		return c.removeIfSilent(membership, v, c.config.DeadMemberTimeout)
+	case c.isSilent(c.leaderState.members[v], c.config.ElectionTimeout):
+		return c.withoutVoter(membership, v)
+	default:
+		return next, c.countActive(next.Voters) >= quorum(len(next.Voters))
+	}
+}
+
+// targetVoters is the number of voters that the group has unless members are lost.
+func (c *Core) targetVoters() int { return max(c.config.TargetVoters, len(c.hardState.Base.Voters)) }
+
+// withoutSurplusVoter removes a voter if there is one more than the target, which is so
+// once a learner was promoted to replace a leaving voter. It returns false if no voter is to
+// be removed.
+func (c *Core) withoutSurplusVoter(membership Membership) (Membership, bool) {
+	if len(membership.Voters) <= c.targetVoters() {
+		return membership, false
+	}
+	leaving := false
+	for _, v := range membership.Voters {
+		if c.isLeaving(v) {
+			leaving = true
+			if next, ok := c.withoutVoter(membership, v); ok {
+				return next, true
+			}
+		}
+	}
+	for _, v := range membership.Voters {
+		if next, ok := c.removeIfSilent(membership, v, replaceAfterElectionTimeouts*c.config.ElectionTimeout); ok {
+			return next, true
+		}
+	}
+	if leaving || c.now-c.leaderState.since <= c.config.ElectionTimeout {
+		// The voter that leaves may not have reached this leader yet.
+		return membership, false
+	}
+	// The voter that was to leave is back, so the latest one isn't needed.
+	others := without(membership.Voters, c.config.Self)
+	return c.withoutVoter(membership, others[len(others)-1])
+}
+
 // removeIfSilent removes a voter that was silent for longer than the timeout, if
 // enough of the remaining voters are active to commit. It returns false if the
 // voter stays.
@@ -100,14 +153,26 @@
 	if v == c.config.Self || !c.isSilent(c.leaderState.members[v], timeout) {
 		return membership, false
 	}
+	return c.withoutVoter(membership, v)
+}
+
+// withoutVoter removes a voter if enough of the remaining ones are active, and stay, to
+// commit. It returns false if the voter stays.
+func (c *Core) withoutVoter(membership Membership, v Member) (Membership, bool) {
 	next := membership.removed(v)
-	active := 0
-	for _, o := range next.Voters {
-		if o == c.config.Self || !c.isSilent(c.leaderState.members[o], c.config.ElectionTimeout) {
-			active++
+	staying := slices.DeleteFunc(slices.Clone(next.Voters), c.isLeaving)
+	return next, c.countActive(staying) >= quorum(len(next.Voters))
+}
+
+// countActive returns how many of the voters have answered within an election timeout.
+func (c *Core) countActive(voters []Member) int {
+	n := 0
+	for _, v := range voters {
+		if v == c.config.Self || !c.isSilent(c.leaderState.members[v], c.config.ElectionTimeout) {
+			n++
 		}
 	}
-	return next, active >= quorum(len(next.Voters))
+	return n
 }
 
 // isSilent reports whether a member hasn't answered for longer than the timeout.
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -118,6 +118,14 @@
 // membership before the first entry.
 type GroupInfo struct{ Base Membership }
 
+// LeaveRequest asks the leader to remove the sender from the membership, since its process
+// ends. Life is the sender's ProcessNonce.
+type LeaveRequest struct{ Life uint64 }
+
+// LeaveResponse answers a LeaveRequest. Left is set once the membership without the receiver
+// is committed; otherwise no other member can take the receiver's place now.
+type LeaveResponse struct{ Left bool }
+
 func (VoteRequest) body()           {}
 func (VoteResponse) body()          {}
 func (AppendEntries) body()         {}
@@ -130,11 +138,14 @@
 func (BootstrapConsent) body()      {}
 func (JoinRequest) body()           {}
 func (GroupInfo) body()             {}
+func (LeaveRequest) body()          {}
+func (LeaveResponse) body()         {}
 
 // bodies encodes each type under its position, so new types go to the end.
 var bodies = encoder.NewSet(
 	VoteRequest{}, VoteResponse{}, AppendEntries{}, AppendEntriesResponse{}, SnapshotChunk{}, SnapshotChunkResponse{},
 	TimeoutNow{}, ReadIndexRequest{}, BootstrapRequest{}, BootstrapConsent{}, JoinRequest{}, GroupInfo{},
+	LeaveRequest{}, LeaveResponse{},
 )
 
 type wireMessage struct {
--- a/replicator/property_test.go
+++ b/replicator/property_test.go
@@ -56,6 +56,7 @@
 	actionTransfer
 	actionToggleLoss
 	actionAddInstance
+	actionLeave
 	actionKinds
 )
 
@@ -65,9 +66,9 @@
 	actionPartition: 2, actionIsolate: 2, actionHeal: 3, actionLoseDisk: 1, actionTransfer: 1, actionToggleLoss: 1, actionAddInstance: 1,
 }
 
-func scenarios() *rapid.Generator[[]action] {
+func scenarios(weights [actionKinds]int) *rapid.Generator[[]action] {
 	var kinds []int
-	for k, w := range actionWeights {
+	for k, w := range weights {
 		for range w {
 			kinds = append(kinds, k)
 		}
@@ -146,6 +147,8 @@
 		if len(s.nodes) < len(s.initialVoters)+2 {
 			s.add(unit.Instance(fmt.Sprintf("x%d", len(s.nodes))))
 		}
+	case actionLeave:
+		s.stopAsPlanned(n, clock.Millis(a.Arg*20))
 	}
 }
 
@@ -213,7 +216,7 @@
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				seed := rapid.Uint64().Draw(t, "seed")
-				list := scenarios().Draw(t, "acts")
+				list := scenarios(actionWeights).Draw(t, "acts")
 				if err := simulate(voters, seed, list, breakage{}); err != nil {
 					t.Fatal(err)
 				}
@@ -240,7 +243,7 @@
 			is := is.New(t)
 			err, seed := error(nil), c.from
 			for ; seed < c.from+400 && err == nil; seed++ {
-				err = simulate(3, uint64(seed), scenarios().Example(seed), c.breakage)
+				err = simulate(3, uint64(seed), scenarios(actionWeights).Example(seed), c.breakage)
 				if errors.HasType(err, noConvergence{}) {
 					err = nil
 				}
--- a/replicator/propose.go
+++ b/replicator/propose.go
@@ -137,6 +137,27 @@
 	}
 }
 
+// ErrNotReplaced is returned by Leave if no other member can take over from this voter. The
+// instance stays a member.
+var ErrNotReplaced = errors.New("no other member can take over from this voter")
+
+// Leave makes this instance leave the group, before the process ends: it transfers the
+// leadership, and a caught-up learner takes over the vote. It returns nil once this instance
+// is no member any more, ErrNotReplaced if there is no such learner, or an error if ctx or
+// Run ends before.
+func (n *Node) Leave(ctx context.Context) error {
+	if err := n.call(ctx, func() { n.core.Leave(n.config.Clock.Now()) }); err != nil {
+		return err
+	}
+	if err := n.await(ctx, func(s state) bool { return s.leave != leavePending }); err != nil {
+		return err
+	}
+	if n.current().leave == leaveRefused {
+		return ErrNotReplaced
+	}
+	return nil
+}
+
 // TransferLeadership transfers the leadership to another voter and returns once this
 // one isn't the leader any more or the transfer has timed out. On a voter that isn't
 // the leader it returns nil at once. It returns an error if no other voter is active,
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"github.com/sirupsen/logrus"
+
 	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/unit"
 )
@@ -33,15 +35,18 @@
 
 // state is what Run publishes to callers on other goroutines.
 type state struct {
-	status      Status
-	leaderSince clock.Millis
-	leaseUntil  clock.Millis
+	status Status
+	// membershipIndex is the index of the entry with the membership.
+	membershipIndex Index
+	leaderSince     clock.Millis
+	leaseUntil      clock.Millis
 	// established is set if this voter is the leader and has applied every entry
 	// that was committed in earlier terms.
 	established bool
 	// readable is set if, in addition, every entry committed since is applied.
 	readable      bool
 	transferring  bool
+	leave         leaveOutcome
 	freshAt       clock.Millis
 	completedRead uint64
 }
@@ -83,13 +88,15 @@
 func (n *Node) publish() {
 	c := n.core
 	s := state{
-		status:        c.Status(),
-		leaseUntil:    c.LeaseUntil(),
-		established:   c.isEstablished(),
-		readable:      c.isEstablished() && c.applied >= c.commit,
-		transferring:  c.leaderState.transferTarget != (Member{}),
-		freshAt:       c.FreshAt(),
-		completedRead: c.CompletedRead(),
+		status:          c.Status(),
+		membershipIndex: c.log.membership().index,
+		leaseUntil:      c.LeaseUntil(),
+		established:     c.isEstablished(),
+		readable:        c.isEstablished() && c.applied >= c.commit,
+		transferring:    c.leaderState.transferTarget != (Member{}),
+		leave:           c.leave.outcome,
+		freshAt:         c.FreshAt(),
+		completedRead:   c.CompletedRead(),
 	}
 	s.status.LogID = n.config.LogID
 	if c.role == roleLeader {
@@ -99,7 +106,12 @@
 	defer n.mu.Unlock()
 	old := n.state
 	n.state = s
-	if old.status.Applied != s.status.Applied || old.completedRead != s.completedRead || old.status.Role != s.status.Role || old.transferring != s.transferring {
+	if old.membershipIndex != s.membershipIndex {
+		m := s.status.Membership
+		n.log.WithFields(logrus.Fields{"Voters": m.Voters, "Learners": m.Learners, "Index": s.membershipIndex}).Info("membership changed")
+	}
+	if old.status.Applied != s.status.Applied || old.completedRead != s.completedRead || old.status.Role != s.status.Role ||
+		old.transferring != s.transferring || old.leave != s.leave {
 		close(n.change)
 		n.change = make(chan struct{})
 	}
--- a/replicator/transfer.go
+++ b/replicator/transfer.go
@@ -3,8 +3,8 @@
 import "github.com/chervilvane/chervilvane/clock"
 
 // TransferLeadership starts to transfer the leadership to the active voter with the
-// highest match index. It returns false if this voter isn't the leader or no other
-// voter is active.
+// highest match index that isn't leaving. It returns false if this voter isn't the
+// leader or there is no such voter.
 func (c *Core) TransferLeadership(now clock.Millis) bool {
 	c.now = max(c.now, now)
 	if c.role != roleLeader {
@@ -13,7 +13,7 @@
 	var best Member
 	for _, v := range c.log.membership().membership.Voters {
 		p := c.leaderState.members[v]
-		if p == nil || c.isSilent(p, c.config.ElectionTimeout) {
+		if p == nil || c.isLeaving(v) || c.isSilent(p, c.config.ElectionTimeout) {
 			continue
 		}
 		if b := c.leaderState.members[best]; b == nil || p.match > b.match {
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -49,6 +49,9 @@
 	// domainDeadMemberTimeout is how long a voter must be silent before a
 	// standby replaces it. It must be longer than a restart takes.
 	domainDeadMemberTimeout = 4 * clock.Second
+	// domainLeaveTimeout bounds how long an instance that shuts down waits until a
+	// standby has its vote.
+	domainLeaveTimeout = 2 * clock.Second
 	// heapLimitPercent is the garbage collector's memory limit, in percent of
 	// the process's memory limit.
 	heapLimitPercent = 70
@@ -323,6 +326,7 @@
 	Forwarder  *forwarder.Forwarder
 	Core       *domainCore
 	Servers    *domainServers
+	Clock      clock.Clock
 	Logger     logrus.FieldLogger
 	Shutdowner fx.Shutdowner
 }
@@ -435,18 +439,14 @@
 	}
 }
 
-// shutDown transfers the log's leadership and waits for the requests in progress,
-// within the platform's grace time.
+// shutDown hands over this instance's part in the log and waits for the requests in
+// progress, within the platform's grace time.
 func (d domain) shutDown(stop context.Context) {
 	d.Logger.Info("shutting down")
 	d.Servers.closing.Store(true)
 	ctx, cancel := context.WithTimeout(stop, (d.Settings.Grace - stopReserve).Duration())
 	defer cancel()
-	if d.Core.node != nil {
-		if err := d.Core.node.TransferLeadership(ctx); err != nil {
-			d.Logger.WithError(err).Warn("the log's leadership was not transferred")
-		}
-	}
+	d.leaveLog(ctx)
 	if d.Settings.ClientAddress != "" {
 		// The steps below must run even if the deadline has passed.
 		_ = clock.Sleep(ctx, domainUnreadyDelay)
@@ -459,3 +459,23 @@
 		d.Logger.WithError(err).Warn("requests in progress did not end before the shutdown")
 	}
 }
+
+// leaveLog leaves the log's group, since nobody tells a process whether it will start again.
+func (d domain) leaveLog(ctx context.Context) {
+	if d.Core.node == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, domainLeaveTimeout.Duration())
+	defer cancel()
+	started := d.Clock.Now()
+	err := d.Core.node.Leave(ctx)
+	l := d.Logger.WithField("WaitMillis", int64(d.Clock.Now()-started))
+	switch {
+	case err == nil:
+		l.Info("left the log's group")
+	case errors.Is(err, replicator.ErrNotReplaced):
+		l.WithError(err).Info("this instance stays a member of the log's group")
+	default:
+		l.WithError(err).Warn("the log's group has not confirmed that this instance leaves")
+	}
+}
