runner: a silent voter is replaced before its machine's successor counts

Cause: a silent voter was replaced after 4 s, as long as the platform's CatchUpS, after which the removed machine counts as a loss no more. A new leader counts the silence from its election, and the two changes of the membership come on top.

Change: the timeout follows from CatchUpS of the settings and leaves three election timeouts for the election and the changes: 2.8 s of 4 s. Where the file has no CatchUpS it stays 4 s.

TestStoppedVoterIsReplacedInTime holds the three election timeouts, for a follower and for the leader, on 20 seeds each.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -22,6 +22,11 @@
 
 	// defaultDeadMemberTimeout is several times as long as a restart takes.
 	defaultDeadMemberTimeout = 5 * clock.Minute
+	// ReplaceElectionTimeouts is the number of election timeouts after
+	// DeadMemberTimeout within which a caught-up learner has replaced a stopped
+	// voter, unless votes are split: two for the election after a stopped leader,
+	// and one for the two changes of the membership.
+	ReplaceElectionTimeouts = 3
 	// replaceAfterElectionTimeouts is the number of election timeouts for which
 	// a voter must be silent before a new incarnation of its instance replaces
 	// it.
@@ -49,7 +54,8 @@
 	MaxMessageBytes int
 	// DeadMemberTimeout is how long a voter must be silent before a caught-up
 	// learner of another instance replaces it, and a learner before it is
-	// removed.
+	// removed. A new leader counts from its election; ReplaceElectionTimeouts
+	// bounds what that adds.
 	DeadMemberTimeout clock.Millis
 	RandSeed          uint64
 	// ProcessNonce differs between any two processes of an instance.
--- a/replicator/leave_test.go
+++ b/replicator/leave_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -98,6 +99,32 @@
 	}
 }
 
+// TestStoppedVoterIsReplacedInTime guards the bound on how long a voter that stops without
+// notice keeps its vote: the silence of a stopped leader is counted only from the election of
+// its successor.
+func TestStoppedVoterIsReplacedInTime(t *testing.T) {
+	for name, pick := range map[string]func(*sim) *simNode{
+		"a follower": (*sim).follower,
+		"the leader": (*sim).leader,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				s := newSim(3, seed, breakage{})
+				s.run(5 * simElectionTimeout)
+				s.add("x3")
+				s.run(3 * simElectionTimeout)
+				stopped := pick(s)
+				stopped.crash()
+				// The instances' clocks may be 4 % slow.
+				s.run((simDeadMemberTimeout + ReplaceElectionTimeouts*simElectionTimeout) * 104 / 100)
+				is.Equal(len(s.voters()), 3)
+				is.True(!slices.Contains(s.voters(), stopped.id))
+			}
+		})
+	}
+}
+
 // TestLeavingMemberIsReplacedOrStays guards the outcomes of leaving: a stopping instance
 // must not wait where nobody can take over, and the group must not lose a vote by it.
 func TestLeavingMemberIsReplacedOrStays(t *testing.T) {
--- a/runner/domain.go
+++ b/runner/domain.go
@@ -46,9 +46,10 @@
 	// disk; it bounds the time without a leader.
 	domainHeartbeatInterval = 50 * clock.Millisecond
 	domainElectionTimeout   = 400 * clock.Millisecond
-	// domainDeadMemberTimeout is how long a voter must be silent before a
-	// standby replaces it. It must be longer than a restart takes.
-	domainDeadMemberTimeout = 4 * clock.Second
+	// minDeadMemberTimeout and maxDeadMemberTimeout bound how long a voter must be
+	// silent before a standby replaces it. A restart takes less.
+	minDeadMemberTimeout = 1200 * clock.Millisecond
+	maxDeadMemberTimeout = 4 * clock.Second
 	// domainLeaveTimeout bounds how long an instance that shuts down waits until a
 	// standby has its vote.
 	domainLeaveTimeout = 2 * clock.Second
@@ -196,7 +197,7 @@
 	state.Observer = planner.NewLearner()
 	c := replicator.Config{
 		ID: mesh.Self(), Incarnation: storage.Incarnation(), LogID: "domain",
-		Seeds: s.Seeds, TargetVoters: 2*s.FaultTolerance + 1, DeadMemberTimeout: domainDeadMemberTimeout,
+		Seeds: s.Seeds, TargetVoters: 2*s.FaultTolerance + 1, DeadMemberTimeout: deadMemberTimeout(s),
 		Storage: storage, Transport: logTransport{mesh}, StateMachine: state, Clock: clk,
 		HeartbeatInterval: domainHeartbeatInterval, ElectionTimeout: domainElectionTimeout, RandSeed: uint64(clk.Now()), Logger: l,
 	}
@@ -224,6 +225,17 @@
 	return &domainCore{node, storage, d}, nil
 }
 
+// deadMemberTimeout returns how long a voter must be silent before a standby replaces it. A
+// machine that is removed counts as lost until its successor, which may start at the same time,
+// has had its time to catch up. By then the vote must have moved, since another machine may be
+// lost.
+func deadMemberTimeout(s platform.Settings) clock.Millis {
+	if s.CatchUp == 0 {
+		return maxDeadMemberTimeout
+	}
+	return max(minDeadMemberTimeout, min(s.CatchUp-replicator.ReplaceElectionTimeouts*domainElectionTimeout, maxDeadMemberTimeout))
+}
+
 const (
 	// openTimeout bounds the attempts to open the data folder. Without them, a
 	// disk that is full or hangs for some seconds would end the process again
