planner: a report ends no other upstream at its address

Cause: of two upstreams at one address, the one that had started earlier counted as ended, with all its runs, once a report of the other came. A report is only what its sender says of itself, and the starts are read from the clocks of different machines.

Evidence: the leader's log on the code before. The runs end as lapsed and the worker is removed in the millisecond in which the entry is recorded; 6 ms later a poll shows that the worker is alive at its address.

Change: such a report makes the leader poll the other upstreams at the address at once. The address answers for one id and rejects the others' polls, which ends them as before.

Why it works: an upstream is ended only by the answer of what serves at its address, never by another one's report.

--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -211,7 +211,7 @@
 		return
 	}
 	if u == nil || len(p.byAddress[desc.Address]) > 1 || u.Address != desc.Address {
-		p.endFormerAt(desc)
+		p.pollOthersAt(desc)
 	}
 	if u != nil && u.ended {
 		p.newUpstreams = append(p.newUpstreams, desc.ID)
@@ -291,19 +291,17 @@
 		a.Draining == b.Draining && a.Machine == b.Machine
 }
 
-// endFormerAt ends the older incarnations that served at the address of a newer upstream:
-// two upstreams can't serve at one address.
-func (p *Planner) endFormerAt(desc keeper.Upstream) {
-	var former []*upstream
-	for _, o := range p.byAddress[desc.Address] {
-		if o.ID != desc.ID && o.Incarnation < desc.Incarnation {
-			former = append(former, o)
+// pollOthersAt polls the other upstreams at the address of a reported one at once. Only one
+// of them can serve there, and it rejects the polls of the others. The report doesn't tell
+// which: it may be a late one of an upstream that has ended, or come from another writer.
+func (p *Planner) pollOthersAt(desc keeper.Upstream) {
+	others := slices.Clone(p.byAddress[desc.Address])
+	slices.SortFunc(others, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	for _, o := range others {
+		if o.ID != desc.ID {
+			p.pollNow(o)
 		}
 	}
-	slices.SortFunc(former, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
-	for _, o := range former {
-		p.endIncarnations(o, o.Incarnation)
-	}
 }
 
 // startIncarnation resets an upstream to a new incarnation. The first poll of it ends the
