planner: a report of a service that no configuration names changes nothing

A job that is accepted then never begins, on eight idle workers whose own heartbeats are all acknowledged.

Cause: a report of any service counted as an upstream's. One with a later start replaced the description of the worker with that id, and from then on the worker's own reports counted as late.

Evidence: the leader's log on the code before: each worker is updated to the other writer's address, polls fail there every 0.25 s, and 8 upstreams are known, none usable. Ruled out: silence of the workers (the entries are kept up), and an end by the failed polls (they end nothing).

Change: a report of a service that the configuration doesn't name is acknowledged and changes nothing, unless its incarnation is tracked under that service, so that it can begin to drain. What a former version has recorded of other writers gives way to the next report of a configured service. The leader counts what it ignores in its status.

Tests: the driver's and two of the planner's tests used a service that their configuration didn't name, which the platform refuses; they name it now, their checks are as they were.

--- a/driver/driver_test.go
+++ b/driver/driver_test.go
@@ -166,7 +166,7 @@
 	is := is.New(t)
 	is.Equal(ask(d, planner.PutConfig{Config: keeper.Config{Version: 1, Queues: []keeper.QueueRoute{{
 		Host: "h", PathPrefix: "/q/", Queue: queue,
-	}}, Accounts: []keeper.Account{{Name: "t", Keys: []string{"k"}}}}}).Reply.Code, planner.OK)
+	}}, Services: []keeper.Service{{Name: "s"}}, Accounts: []keeper.Account{{Name: "t", Keys: []string{"k"}}}}}).Reply.Code, planner.OK)
 	is.Equal(ask(d, planner.ReportUpstream{Upstream: keeper.Upstream{
 		ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Zone: "z", Capacity: unit.Resources{CPU: 1000},
 	}, Clock: 1, Seq: 1}).Reply.Code, planner.OK)
--- a/driver/telemetry.go
+++ b/driver/telemetry.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -152,7 +153,7 @@
 func (s *session) logStatus(st planner.Status) {
 	s.d.metrics.reportForecast(st.Forecast)
 	s.log.WithFields(logrus.Fields{
-		"Upstreams": st.Upstreams, "Usable": st.Schedulable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
+		"Upstreams": st.Upstreams, "IgnoredReports": st.IgnoredReports, "IgnoredService": fmt.Sprintf("%.64s", st.IgnoredService), "Usable": st.Schedulable, "CapacityMilliCPU": st.Capacity.CPU, "UsedMilliCPU": st.Used.CPU,
 		"Runs": st.Runs, "Stopping": st.Stopping, "BacklogBytes": int64(st.BacklogBytes), "Advisers": st.TicketRequesters, "BusyAdvisers": st.BusyTicketRequesters,
 		"OverShare": st.OverShareAccounts, fieldEvacuatedZones: st.EvacuatedZones, "EvacuatingRuns": st.EvacuatingRuns,
 		"ForecastEnds": st.Forecast.Ends, "ForecastEarlierThanMedian": st.Forecast.EarlierThanMedian,
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/chervilvane/chervilvane/clock"
@@ -104,6 +105,11 @@
 	return nil, false
 }
 
+// HasService reports whether there is a service with this name.
+func (c *Config) HasService(name string) bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
+}
+
 // QueueByName returns the current configuration of a queue.
 func (c *Config) QueueByName(name unit.Queue) (*Queue, bool) {
 	for i := range c.Queues {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -61,6 +61,9 @@
 	// groups the upstreams by the address at which they serve.
 	byID      []*upstream
 	byAddress map[string][]*upstream
+	// ignoredReports and ignoredService are those of Status.
+	ignoredReports int
+	ignoredService string
 	// byFreeCPU lists the schedulable upstreams of each service as of byFreeCPUAt, those
 	// with the most free CPU first.
 	byFreeCPU   map[string][]*upstream
--- a/planner/report_test.go
+++ b/planner/report_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chervilvane/chervilvane/clock"
 	"github.com/chervilvane/chervilvane/keeper"
 	"github.com/chervilvane/chervilvane/planner"
 )
@@ -52,3 +53,73 @@
 		})
 	}
 }
+
+// TestReportOfUnknownServiceChangesNothing guards against upstreams that another writer takes
+// out of use: reports under their ids, of a service that no configuration names, with a later
+// start and an address of their own. Their own reports must still count, and a job must start.
+func TestReportOfUnknownServiceChangesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before is set if the reports arrive before those of the upstreams, stored if a
+		// former version has recorded them.
+		before, stored bool
+	}{
+		"after the upstreams' own reports":  {},
+		"before the upstreams' own reports": {before: true},
+		"recorded by a former version":      {stored: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newCalmSimulation(t, func(*keeper.Config) {})
+			if c.before {
+				sim = newSimulation(t, func(int) int { return 1 }, 3)
+				sim.faultless = true
+			}
+			acked := 0
+			for seq := range 3 {
+				for _, u := range sim.upstreams {
+					d := keeper.Upstream{ID: u.id, Incarnation: 99, Address: "agent:" + string(u.id), Service: "metrics", Zone: u.zone}
+					if c.stored && seq == 0 {
+						sim.log.ApplyCommand(keeper.SetUpstream{Upstream: d})
+						continue
+					}
+					sim.planner.HandleReport(sim.now, planner.Report{Upstream: d, Clock: 1, Seq: int64(seq + 1)}, func() { acked++ })
+				}
+				if c.stored && seq == 0 {
+					sim.takeOver()
+				}
+				sim.commit()
+				for range 10 {
+					sim.step(50)
+				}
+			}
+			is.True(acked > 0) // the other writer is answered
+			sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: newSubmission(1000, 1)})
+			for range 40 {
+				sim.step(50)
+			}
+			is.Equal(sim.log.Jobs[jobID].Phase, keeper.Completed)
+		})
+	}
+}
+
+// TestReportsCountUntilTheServiceIsRemovedForGood guards against starts on an upstream that
+// leaves: it begins to drain while no configuration names its service, and a later
+// configuration names it again.
+func TestReportsCountUntilTheServiceIsRemovedForGood(t *testing.T) {
+	is := is.New(t)
+	sim := newCalmSimulation(t, func(*keeper.Config) {})
+	put := func(version int64, services ...keeper.Service) {
+		c := config(0)
+		c.Version, c.Services = version, services
+		is.Equal(sim.request(planner.PutConfig{Config: c}).Code, planner.OK)
+	}
+	put(3)
+	for _, u := range sim.upstreams {
+		u.draining = true
+	}
+	sim.step(clock.Millis(50))
+	put(4, keeper.Service{Name: service})
+	sim.request(planner.Submit{Address: address(jobID), ID: jobID, Submission: newSubmission(1000, 1)})
+	sim.planner.Tick(sim.now)
+	is.Equal(len(acceptStarts(sim)), 0)
+}
--- a/planner/requester_test.go
+++ b/planner/requester_test.go
@@ -66,7 +66,7 @@
 		"no more than an instance can take": {requesters: []ticketRequester{{id: "a", requests: maxPipelinedRequests}}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := New(Config{FencingToken: 1, LeaderSince: 1000}, keeper.New())
+			p := New(Config{FencingToken: 1, LeaderSince: 1000}, newConfiguredState())
 			j := &keeper.Job{ID: "j", Queue: keeper.Queue{Name: "q", Service: "s", RequiresTicket: true}, Submission: keeper.Submission{Steps: []keeper.Step{{Count: 1}}}}
 			s := p.newStep(j, keeper.StepID{Job: "j"})
 			s.rank.surplus = c.surplus
@@ -100,7 +100,7 @@
 		"a run of unknown length":    {count: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := New(Config{FencingToken: 1, LeaderSince: 1000}, keeper.New())
+			p := New(Config{FencingToken: 1, LeaderSince: 1000}, newConfiguredState())
 			p.HandleReport(1000, Report{Seq: 1, Clock: 1, Upstream: keeper.Upstream{ID: "u", Incarnation: 1, Address: "u:1", Service: "s", Capacity: unit.Resources{CPU: 2000}}}, func() {})
 			u := p.upstreams["u"]
 			u.Used = unit.Resources{CPU: 1000}
@@ -117,3 +117,10 @@
 		})
 	}
 }
+
+// newConfiguredState returns a state with a configuration that names the service s.
+func newConfiguredState() *keeper.State {
+	state := keeper.New()
+	state.ApplyCommand(keeper.SetConfig{Config: keeper.Config{Version: 1, Services: []keeper.Service{{Name: "s"}}}})
+	return state
+}
--- a/planner/status.go
+++ b/planner/status.go
@@ -12,6 +12,10 @@
 type Status struct {
 	// Schedulable counts the upstreams that may get new tasks.
 	Upstreams, Schedulable int
+	// IgnoredReports counts this leader's reports of services that no configuration names.
+	// IgnoredService is that of the last one.
+	IgnoredReports int
+	IgnoredService string
 	// Capacity and Used are the sums over the schedulable upstreams.
 	Capacity, Used unit.Resources
 	Runs           int
@@ -53,7 +57,7 @@
 
 // Status returns the current status.
 func (p *Planner) Status() Status {
-	s := Status{Upstreams: len(p.upstreams), Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Forecast: p.forecastStatus, Queues: map[unit.Queue]*QueueStatus{}}
+	s := Status{Upstreams: len(p.upstreams), IgnoredReports: p.ignoredReports, IgnoredService: p.ignoredService, Runs: len(p.runs), Stopping: len(p.stopping), BacklogBytes: p.backlog.total, TicketRequesters: len(p.ticketRequesters), Forecast: p.forecastStatus, Queues: map[unit.Queue]*QueueStatus{}}
 	for _, u := range p.upstreams {
 		if p.takesTasks(u) {
 			s.Schedulable++
--- a/planner/upstream.go
+++ b/planner/upstream.go
@@ -200,12 +200,32 @@
 	return incarnation <= u.lastEnded || r.Seq <= u.reportSeq && u.reportSeq > 0
 }
 
+// describesUpstream reports whether a report describes an upstream that may be used. Other
+// writers report too, under any id and for services of their own. If a service is removed from
+// the configuration, the reports of its upstreams still count: they may begin to drain.
+func (p *Planner) describesUpstream(u *upstream, desc keeper.Upstream) bool {
+	tracked := u != nil && u.Service == desc.Service && u.Incarnation == desc.Incarnation
+	return tracked || p.state.Config.HasService(desc.Service)
+}
+
 // HandleReport handles an upstream's report. It calls done once the report is durable. A
-// report of a former incarnation, or one that a later report overtook, changes nothing.
+// report of a former incarnation, one that a later report overtook, and one of an unknown
+// service change nothing.
 func (p *Planner) HandleReport(now clock.Millis, r Report, done func()) {
 	p.now = max(p.now, now)
 	desc := r.Upstream
 	u := p.upstreams[desc.ID]
+	if !p.describesUpstream(u, desc) {
+		p.ignoredReports++
+		p.ignoredService = desc.Service
+		p.addEffect(Respond{Send: done})
+		return
+	}
+	if u != nil && u.Service != desc.Service && len(u.Runs) == 0 && !p.state.Config.HasService(u.Service) {
+		// A former version has recorded a report of another writer under this id.
+		p.removeUpstream(u)
+		u = nil
+	}
 	if u != nil && u.isLate(r) || desc.Incarnation <= p.state.EndedIncarnations[desc.ID] {
 		p.addEffect(Respond{Send: done})
 		return
